Let one instance of a large data centre read for the others, configurations and starts included

After a loss of power each instance of the far region read all entries of the endpoints, 24 MB through 60 Mbit/s. Change: the question that keeps the endpoints up to date also tells the teller's configuration. Whoever finds its reader's word young enough leaves the store alone (reading_plan); at a start two instances of a data centre read and the others ask them and one another. Ruled out: a shorter poll by readers with an age of its own (as many calls as it saves); the endpoints' read proves the way to the store already.

--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -85,6 +85,8 @@
     probing_settings probing;
     std::chrono::milliseconds leavingBound {3000}; ///< Time after which an endpoint that said that it leaves gets no new calls.
 
+    std::chrono::milliseconds configurationBound {0}; ///< Time within which a new configuration must be in force everywhere; 0: as soon as can be.
+
     /// Returns the region of a data centre, or an empty id when no region lists it.
     region_id regionOf(const data_centre_id &centre) const;
 };
--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -46,6 +46,9 @@
     /// Chooses whether this instance follows them all the time, or may leave that to peers that pass changes on.
     virtual void setFollowing(bool following) = 0;
 
+    /// Tells whether this instance hears of the operators' changes by itself now.
+    virtual bool isFollowing() const = 0;
+
     /// Sets the live instances of the data centre.
     virtual void setLive(std::vector<instance_id> live) = 0;
 
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -1,6 +1,5 @@
 #include "src/shell/instance/control_plane.h"
 
-#include "sequoiawharf/rendezvous.h"
 #include "sequoiawharf/selection_policy.h"
 #include "src/shell/net/clock.h"
 #include "src/shell/net/log.h"
@@ -25,11 +24,14 @@
 using std::chrono::nanoseconds;
 
 constexpr const char *kPart = "control";
-constexpr std::string_view kEndpointRole = "endpoints";
 constexpr milliseconds kListInterval {2000};
-constexpr milliseconds kQuietListInterval {30'000}; ///< Heartbeats tell of the others then; the list joins halves that lost each other.
+// Heartbeats tell of the others then; the list joins halves that lost each other. Of more instances each reads less often, all together once a
+// second.
+constexpr milliseconds kQuietListInterval {30'000};
+constexpr unsigned kListReadersPerSecond = 1;
 // Instances that start together may miss each other in the first one, and the budget of repeats is shared by the number of those listed.
 constexpr unsigned kListReadsAtStart = 2;
+constexpr milliseconds kSecondListAfter {700}; ///< Instances that start together do so within half of this, and enter themselves then.
 constexpr unsigned kUnknownFleet = 1000; ///< Before the list was read, so that restarted instances do not each take the whole slack.
 constexpr milliseconds kSurveyInterval {500};
 constexpr milliseconds kLongestTick {1500}; ///< A longer gap between two ticks is a pause of the process.
@@ -85,13 +87,13 @@
                    return m_routing;
                })
     , m_config(std::make_shared<const configuration>())
+    , m_readingTimes(reading_times::within(settings.leavingBound))
     , m_lastTick(monoNow())
     , m_cpuAt(m_lastTick)
 {
     if (auto discovery = outside.makeDiscovery(settings)) {
-        const auto times = endpoint_feed_times::within(settings.leavingBound);
         endpoint_observer &self = *this;
-        m_endpoints = std::make_unique<endpoint_feed>(context, std::move(discovery), times, self, seedOf(settings));
+        m_endpoints = std::make_unique<endpoint_feed>(context, std::move(discovery), m_readingTimes, self, seedOf(settings));
     }
 }
 
@@ -152,31 +154,61 @@
     m_feed->setLive(std::move(ids));
     if (m_endpoints) {
         followEndpoints(now);
+    } else {
+        m_feed->setFollowing(m_node.members().readerRank(now) < kReaders);
     }
-    m_feed->setFollowing(m_node.members().readerRank(now) < kReaders);
     if (auto next = place(now); next != m_place) {
         m_place = std::move(next);
         publishRouting(now);
     }
 }
 
-// Tells the endpoints' feed which instances of the data centre it may ask, the one that reads discovery for all first. All instances serve
-// operators at the same port.
-void control_plane::followEndpoints(mono_time now)
+// Returns the other instances of the data centre with their operators' addresses: the live ones, and at the start those listed as well, since
+// hardly any is known to live then. All instances serve operators at the same port.
+std::map<instance_id, host_port> control_plane::nearInstances(mono_time now, bool isStarting)
 {
-    auto live = m_node.members().liveMembers(now);
-    std::ranges::sort(live, std::ranges::greater {}, [](const member_row &row) {
-        return rendezvousWeight(kEndpointRole, row.id.str());
-    });
-    const bool isReader = live.empty() || live.front().id == m_settings.id;
-    std::erase_if(live, [this](const member_row &row) {
-        return row.id == m_settings.id;
+    auto near = isStarting ? m_listedNear : std::map<instance_id, host_port> {};
+    std::ranges::for_each(m_node.members().liveMembers(now), [&](const member_row &row) {
+        if (row.id != m_settings.id) {
+            near.insert_or_assign(row.id, host_port {row.gateway.host, m_settings.admin.port});
+        }
     });
+    return near;
+}
+
+// Tells the endpoints' feed which instances of the data centre it may ask, once any could be known.
+void control_plane::followEndpoints(mono_time now)
+{
+    const bool isStarting = !m_endpoints->isKnown();
+    const auto near = nearInstances(now, isStarting);
+    if (near.empty() && m_listed == 0) {
+        return;
+    }
+    std::vector<instance_id> ids;
+    std::ranges::copy(near | std::views::keys, std::back_inserter(ids));
+    const auto part = chooseReadingPart(m_settings.id, std::move(ids), isStarting);
     std::vector<host_port> others;
-    std::ranges::transform(live, std::back_inserter(others), [this](const member_row &row) {
-        return host_port {row.gateway.host, m_settings.admin.port};
+    std::ranges::transform(part.readers, std::back_inserter(others), [&](const instance_id &id) {
+        return near.at(id);
     });
-    m_endpoints->setOthers(std::move(others), isReader);
+    m_near = near.size();
+    if (!mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near)) {
+        m_feed->setFollowing(true);
+    }
+    m_endpoints->setOthers(std::move(others), part.isReader);
+}
+
+void control_plane::onConfigurationTold(const host_port &teller, const told_configuration &told)
+{
+    m_feed->setFollowing(!told.isFollowed || !mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near));
+    if (told.version > m_feed->current()->version) {
+        m_node.configurationHeard({teller.host, m_settings.peer.port}, told.version);
+    }
+}
+
+void control_plane::onNothingTold()
+{
+    m_feed->setFollowing(true);
 }
 
 void control_plane::surveyAll(mono_time now)
@@ -316,13 +348,21 @@
         } else {
             logTo(log_level::Warning, kPart, "The list of instances cannot be read. error=\"{}\"", toString(listed.error()));
         }
-        co_await pauseFor(kListInterval);
-        if (m_settings.probing.count > 0 && reads >= kListReadsAtStart) {
-            co_await pauseFor(kQuietListInterval);
-        }
+        co_await pauseFor(listPause(listed.has_value(), reads));
     }
 }
 
+milliseconds control_plane::listPause(bool isAnswered, unsigned reads) const
+{
+    if (!isAnswered || m_settings.probing.count == 0) {
+        return kListInterval;
+    }
+    if (reads < kListReadsAtStart) {
+        return kSecondListAfter;
+    }
+    return std::max<milliseconds>(kQuietListInterval, std::chrono::seconds(m_listed / kListReadersPerSecond));
+}
+
 void control_plane::takeList(const std::vector<listed_instance> &listed)
 {
     std::vector<member_hint> hints;
@@ -330,8 +370,15 @@
         return entry.id != m_settings.id;
     };
     std::ranges::transform(listed | std::views::filter(isOther), std::back_inserter(hints), toHint);
+    const auto count = static_cast<unsigned>(hints.size()) + 1;
     m_node.setHints(std::move(hints));
-    m_listed = std::max(m_listed, static_cast<unsigned>(listed.size()));
+    std::ranges::for_each(listed | std::views::filter(isOther), [this](const listed_instance &entry) {
+        if (entry.dataCentre == m_settings.dataCentre) {
+            m_listedNear.insert_or_assign(entry.id, host_port {entry.gateway.host, m_settings.admin.port});
+        }
+    });
+    m_listed = std::max(m_listed, count);
+    followMembers(monoNow());
 }
 
 void control_plane::record(event_kind kind, std::string subject, std::string detail)
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -67,7 +67,8 @@
     /// Returns what this instance knows of endpoints since an offset, for another one; empty when the pool table names them.
     std::string endpointPage(log_offset from, mono_time now)
     {
-        return m_endpoints ? m_endpoints->page(from, now) : std::string {};
+        const told_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing()};
+        return m_endpoints ? m_endpoints->page(from, configuration, now) : std::string {};
     }
     const measuring_budget &measuring() const
     {
@@ -78,11 +79,14 @@
     void onConfiguration(std::shared_ptr<const configuration> config) override;
     void onVerdict(const record_verdict &entry) override;
     void onEndpoints(std::map<pool_name, std::vector<endpoint>> endpoints) override;
+    void onConfigurationTold(const host_port &teller, const told_configuration &told) override;
+    void onNothingTold() override;
     std::shared_ptr<const configuration> current() const override;
     change_set changesSince(config_version version) const override;
     bool apply(const change_set &changes) override;
 
     boost::asio::awaitable<void> listLoop();
+    std::chrono::milliseconds listPause(bool isAnswered, unsigned reads) const;
     void takeList(const std::vector<listed_instance> &listed);
     void followMembers(mono_time now);
     void surveyAll(mono_time now);
@@ -90,6 +94,7 @@
     void takeLeaving(const leaving_notice &notice);
     void publishRouting(mono_time now);
     std::shared_ptr<const configuration> withEndpoints() const;
+    std::map<instance_id, host_port> nearInstances(mono_time now, bool isStarting);
     void followEndpoints(mono_time now);
     locality place(mono_time now);
     void record(event_kind kind, std::string subject, std::string detail);
@@ -110,6 +115,9 @@
     pool_watch m_watch;
     std::shared_ptr<const configuration> m_config;
     std::map<pool_name, std::vector<endpoint>> m_discovered; ///< What the source of endpoints told last.
+    std::map<instance_id, host_port> m_listedNear; ///< Other instances of the data centre that the list names, and their operators' addresses.
+    std::size_t m_near = 0; ///< Other instances of the data centre that may be asked.
+    reading_times m_readingTimes;
     unsigned m_listed = 0; ///< Most instances that the platform's list named; 0: it was never read.
     std::vector<instance_id> m_live; ///< Live instances of the data centre.
     locality m_place;
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -9,9 +9,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -28,19 +25,17 @@
 // Entries that lapsed while the service was away are back within two seconds of its return; half a second is for the way.
 constexpr milliseconds kReturnGrace {2500};
 constexpr milliseconds kRetry {500};
-constexpr milliseconds kAskTimeout {300}; // within a data centre
 constexpr std::chrono::seconds kWholeEvery {10};
+// The list of instances comes in one call to the service, across regions in an eighth of a second.
+constexpr milliseconds kOthersWait {400};
+// A data centre's readers know all within a second even when its whole region starts at once; then each one reads for itself.
+constexpr milliseconds kAskAtStart {1500};
+constexpr milliseconds kAskAtStartPace {100};
 
 } // namespace
 
-// A change is known everywhere after a read, a question and the ways: three quarters of the bound.
-endpoint_feed_times endpoint_feed_times::within(milliseconds leavingBound)
-{
-    return {.readPace = leavingBound * 2 / 5, .askPace = leavingBound * 3 / 10, .longestAge = leavingBound / 2};
-}
-
 endpoint_feed::endpoint_feed(
-    asio::io_context &context, std::unique_ptr<discovery_client> client, endpoint_feed_times times, endpoint_observer &observer, std::uint64_t seed)
+    asio::io_context &context, std::unique_ptr<discovery_client> client, reading_times times, endpoint_observer &observer, std::uint64_t seed)
     : m_context(context)
     , m_client(std::move(client))
     , m_times(times)
@@ -59,15 +54,14 @@
 {
     m_others = std::move(others);
     m_isReader = isReader;
+    m_areOthersSet = true;
+    m_othersSet.notify();
 }
 
 asio::awaitable<void> endpoint_feed::run()
 {
+    bool isFollowing = co_await askAtStart();
     while (true) {
-        bool isFollowing = false;
-        if (!m_isReader && !m_others.empty() && m_isKnown) {
-            isFollowing = co_await askInstance(m_others.front());
-        }
         bool isAnswered = isFollowing;
         if (!isAnswered) {
             isAnswered = co_await readService();
@@ -79,7 +73,38 @@
         const auto answeredPace = isFollowing ? m_times.askPace : m_times.readPace;
         const auto pause = isAnswered ? answeredPace : kRetry;
         co_await pauseFor(pause - milliseconds(m_random.below(static_cast<std::uint32_t>(pause.count() / 8))));
+        isFollowing = co_await askReader();
+    }
+}
+
+// Asks the instance that reads for the data centre, if it is another one. What this one knows it can only keep up to date so.
+asio::awaitable<bool> endpoint_feed::askReader()
+{
+    const bool hasReader = !m_isReader && !m_others.empty() && m_isKnown;
+    const bool isAnswered = hasReader && co_await askInstance(m_others.front());
+    if (!isAnswered) {
+        m_observer.onNothingTold();
+    }
+    co_return isAnswered;
+}
+
+// Asks the others until one knows the endpoints: in turn one of the first two, which read at the start, and any, which may have learned from them.
+// So no reader has to tell all.
+asio::awaitable<bool> endpoint_feed::askAtStart()
+{
+    const auto begun = monoNow();
+    while (!m_areOthersSet && monoNow() < begun + kOthersWait) {
+        co_await m_othersSet.wait(begun + kOthersWait);
+    }
+    for (unsigned i = 0; !m_isReader && !m_others.empty() && monoNow() < begun + kAskAtStart; ++i) {
+        const auto any = m_random.below(static_cast<std::uint32_t>(m_others.size()));
+        const auto first = std::min<std::size_t>(i / 2 % 2, m_others.size() - 1);
+        if (co_await askInstance(m_others[i % 2 == 0 ? first : any])) {
+            co_return true;
+        }
+        co_await pauseFor(kAskAtStartPace);
     }
+    co_return false;
 }
 
 // Asks an instance that the service may serve while it turns this one away.
@@ -98,7 +123,7 @@
     const auto asked = monoNow();
     const bool wantsWhole = asked >= m_wholeDue;
     http_request request;
-    request.server = std::move(other);
+    request.server = other;
     request.path = endpointPagePath(wantsWhole ? 0 : m_next.value_or(0));
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
     if (!answer || answer->status != kOk) {
@@ -114,6 +139,7 @@
     m_registry.discoveryAnswered(asked);
     m_asOf = std::max(m_asOf, asked - page->age);
     take(page->changes);
+    m_observer.onConfigurationTold(other, page->configuration);
     co_return true;
 }
 
@@ -169,11 +195,11 @@
     m_observer.onEndpoints(std::move(endpoints));
 }
 
-std::string endpoint_feed::page(log_offset from, mono_time now)
+std::string endpoint_feed::page(log_offset from, const told_configuration &configuration, mono_time now)
 {
     // Nothing is known yet, or not any more: an age that nobody takes.
     const auto age = m_asOf == mono_time {} ? m_times.longestAge * 2 : std::chrono::duration_cast<milliseconds>(now - m_asOf);
-    return formatEndpointPage({.changes = m_registry.changesSince(from, m_next.value_or(0), now), .age = age});
+    return formatEndpointPage({.changes = m_registry.changesSince(from, m_next.value_or(0), now), .age = age, .configuration = configuration});
 }
 
 } // namespace sequoiawharf
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "sequoiawharf/random_source.h"
+#include "sequoiawharf/reading_plan.h"
 #include "src/shell/instance/discovery_client.h"
 #include "src/shell/instance/endpoint_source.h"
+#include "src/shell/peer/async_signal.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,30 +15,21 @@
 namespace sequoiawharf
 {
 
-/// Times of a feed, as parts of the time within which a leaving endpoint must get no new calls.
-struct endpoint_feed_times {
-    std::chrono::milliseconds readPace; ///< Between reads of the service by this instance.
-    std::chrono::milliseconds askPace; ///< Between questions to the instance that reads for the data centre.
-    std::chrono::milliseconds longestAge; ///< An answer that is older is not taken; the instance reads the service itself.
-
-    static endpoint_feed_times within(std::chrono::milliseconds leavingBound);
-};
-
 /// Follows the endpoints that discovery tells of. One instance of a data centre reads the service, and the others ask it for changes: what each
-/// one holds has an age, and whoever finds it too old reads the service itself, so that nothing rests on their agreement about who reads. All
-/// methods run on the control thread.
+/// one holds has an age, and whoever finds it too old reads the service itself, so that nothing rests on their agreement about who reads. An
+/// instance that starts in a large data centre asks the others first. All methods run on the control thread.
 class endpoint_feed
 {
 public:
     /// context and observer outlive the feed.
     endpoint_feed(
-        boost::asio::io_context &context, std::unique_ptr<discovery_client> client, endpoint_feed_times times, endpoint_observer &observer, std::uint64_t seed);
+        boost::asio::io_context &context, std::unique_ptr<discovery_client> client, reading_times times, endpoint_observer &observer, std::uint64_t seed);
 
     /// Begins to follow. Called once.
     void start();
 
-    /// Sets the operators' addresses of the other live instances of the data centre, and whether this instance reads for them; else the first of
-    /// the others does.
+    /// Sets the operators' addresses of the other instances of the data centre, and whether this instance reads for them; else the first of the
+    /// others does. The first reading waits a moment for the first call.
     void setOthers(std::vector<host_port> others, bool isReader);
 
     /// Tells whether the endpoints were learned at least once.
@@ -46,8 +38,8 @@
         return m_isKnown;
     }
 
-    /// Returns the page that answers another instance: the changes from an offset on, or with 0 all entries.
-    std::string page(log_offset from, mono_time now);
+    /// Returns the page that answers another instance: the changes from an offset on, or with 0 all entries, and the configuration's version.
+    std::string page(log_offset from, const told_configuration &configuration, mono_time now);
 
     /// Returns how many times this instance has read the service.
     std::uint64_t reads() const
@@ -57,6 +49,8 @@
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> askAtStart();
+    boost::asio::awaitable<bool> askReader();
     boost::asio::awaitable<bool> askInstance(host_port other);
     boost::asio::awaitable<bool> askAnother();
     boost::asio::awaitable<bool> readService();
@@ -65,12 +59,14 @@
 
     boost::asio::io_context &m_context;
     std::unique_ptr<discovery_client> m_client;
-    endpoint_feed_times m_times;
+    reading_times m_times;
     endpoint_observer &m_observer;
     random_source m_random;
     endpoint_registry m_registry;
     std::vector<host_port> m_others;
     bool m_isReader = true;
+    bool m_areOthersSet = false;
+    async_signal m_othersSet;
     std::size_t m_asked = 0; ///< Of the others, asked in turn while the service does not answer.
     std::optional<log_offset> m_next; ///< From where to read on; nothing: all entries must be read.
     mono_time m_asOf {}; ///< What is known is at least as new as this.
--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -15,46 +15,49 @@
 
 namespace json = boost::json;
 
-json::object toJson(const discovery_record &record)
+// Entries are rows, in this order; a removal has the first two only. Names would be half of the bytes.
+enum column : std::size_t { Identity, Offset, Incarnation, Sequence, Pool, Address, DataCentre, Slots, Leaving, WarmUpMs, ColumnCount };
+constexpr std::size_t kRemovalColumns = Offset + 1;
+
+json::array toJson(const discovery_record &record)
 {
-    json::object out {{"identity", record.identity}, {"offset", record.offset}};
+    json::array row {record.identity, record.offset};
     if (record.entry) {
         const auto &entry = *record.entry;
-        out["incarnation"] = entry.incarnation;
-        out["sequence"] = entry.sequence;
-        out["pool"] = entry.pool.str();
-        out["address"] = toString(entry.address);
-        out["data_centre"] = entry.dataCentre.str();
-        out["slots"] = entry.slots;
-        out["leaving"] = entry.leaving;
-        out["warm_up_ms"] = entry.warmUp.count();
+        row.insert(row.end(), {entry.incarnation, entry.sequence, entry.pool.str(), toString(entry.address)});
+        row.insert(row.end(), {entry.dataCentre.str(), entry.slots, entry.leaving, entry.warmUp.count()});
     }
-    return out;
+    return row;
+}
+
+std::string textAt(const json::array &row, column at)
+{
+    return json::value_to<std::string>(row.at(at));
 }
 
 discovery_record toRecord(const json::value &value)
 {
-    const auto &object = value.as_object();
+    const auto &row = value.as_array();
     discovery_record record;
-    record.identity = json::value_to<std::string>(object.at("identity"));
-    record.offset = object.at("offset").to_number<std::uint64_t>();
-    if (!object.contains("address")) {
+    record.identity = textAt(row, Identity);
+    record.offset = row.at(Offset).to_number<std::uint64_t>();
+    if (row.size() == kRemovalColumns) {
         return record;
     }
-    const auto address = parseHostPort(json::value_to<std::string>(object.at("address")));
-    if (!address) {
+    const auto address = parseHostPort(textAt(row, Address));
+    if (!address || row.size() != ColumnCount) {
         throw boost::system::system_error(json::make_error_code(json::error::syntax));
     }
     endpoint_entry entry;
     entry.identity = record.identity;
-    entry.incarnation = object.at("incarnation").to_number<std::uint64_t>();
-    entry.sequence = object.at("sequence").to_number<std::uint64_t>();
-    entry.pool = pool_name(json::value_to<std::string>(object.at("pool")));
+    entry.incarnation = row.at(Incarnation).to_number<std::uint64_t>();
+    entry.sequence = row.at(Sequence).to_number<std::uint64_t>();
+    entry.pool = pool_name(textAt(row, Pool));
     entry.address = *address;
-    entry.dataCentre = data_centre_id(json::value_to<std::string>(object.at("data_centre")));
-    entry.slots = object.at("slots").to_number<std::uint32_t>();
-    entry.leaving = object.at("leaving").as_bool();
-    entry.warmUp = std::chrono::milliseconds(object.at("warm_up_ms").to_number<std::int64_t>());
+    entry.dataCentre = data_centre_id(textAt(row, DataCentre));
+    entry.slots = row.at(Slots).to_number<std::uint32_t>();
+    entry.leaving = row.at(Leaving).as_bool();
+    entry.warmUp = std::chrono::milliseconds(row.at(WarmUpMs).to_number<std::int64_t>());
     record.entry = std::move(entry);
     return record;
 }
@@ -74,6 +77,8 @@
         {"next", page.changes.next},
         {"whole", page.changes.isWhole},
         {"age_ms", page.age.count()},
+        {"version", page.configuration.version},
+        {"is_followed", page.configuration.isFollowed},
         {"records", std::move(records)},
     };
     return json::serialize(out);
@@ -88,6 +93,8 @@
         page.changes.next = object.at("next").to_number<std::uint64_t>();
         page.changes.isWhole = object.at("whole").as_bool();
         page.age = std::chrono::milliseconds(object.at("age_ms").to_number<std::int64_t>());
+        page.configuration.version = object.at("version").to_number<config_version>();
+        page.configuration.isFollowed = object.at("is_followed").as_bool();
         std::ranges::transform(object.at("records").as_array(), std::back_inserter(page.changes.records), toRecord);
         return page;
     } catch (const std::exception &) {
--- a/src/shell/instance/endpoint_page.h
+++ b/src/shell/instance/endpoint_page.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/endpoint_registry.h"
+#include "sequoiawharf/ids.h"
 
 #include <chrono>
 #include <optional>
@@ -10,10 +11,19 @@
 namespace sequoiawharf
 {
 
-/// Changes of the endpoints as one instance tells them to another.
+/// The configuration that the teller has.
+struct told_configuration {
+    config_version version = 0;
+    bool isFollowed = false; ///< The teller hears of the next one by itself.
+
+    friend bool operator==(const told_configuration &, const told_configuration &) = default;
+};
+
+/// Changes of the endpoints, and the configuration's version, as one instance tells them to another.
 struct endpoint_page {
     discovery_page changes;
     std::chrono::milliseconds age {0}; ///< The teller's knowledge is at least as new as this long ago.
+    told_configuration configuration {};
 };
 
 inline constexpr std::string_view kEndpointPage = "/endpoints";
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -143,6 +143,11 @@
     m_wake.notify();
 }
 
+void peer_node::configurationHeard(const host_port &peer, config_version version)
+{
+    m_follower.heard(peer, nearness::DataCentre, version, clock::now(), m_random);
+}
+
 void peer_node::announceLeaving(const pool_name &pool, const host_port &endpoint)
 {
     const leaving_notice notice {pool, endpoint, {}};
--- a/src/shell/peer/peer_node.h
+++ b/src/shell/peer/peer_node.h
@@ -73,6 +73,9 @@
     /// Tells the others that a configuration came in force that this instance read from the log.
     void configurationRead(config_version previous);
 
+    /// Notes that an instance of the data centre said that it has a configuration; peer: its address for other instances.
+    void configurationHeard(const host_port &peer, config_version version);
+
     /// Tells the others that an endpoint takes no new work.
     void announceLeaving(const pool_name &pool, const host_port &endpoint);
 
--- a/src/shell/platform/config_feed.h
+++ b/src/shell/platform/config_feed.h
@@ -42,6 +42,10 @@
 
     /// Chooses whether this instance follows the log all the time, which is the default, or leaves that to peers that pass changes on.
     void setFollowing(bool following) override;
+    bool isFollowing() const override
+    {
+        return m_following;
+    }
 
     /// Sets the instances among which the writer of state records is chosen.
     void setLive(std::vector<instance_id> live) override;
