Save the calls of the first start and of whole pages

Cause, found by counting calls in debug lines (store_client) of a scratch copy: on the first start the list is empty for all, so that all read; in far regions a first heartbeat came before the list, so that a whole data centre took itself for small; followers asked for all entries in the same second, which took small readers longer than 300 ms; instances that knew the endpoints looked at live members only, of whom few were heard yet. Change: on the first start (a setting) instances enter themselves and read the list a second later; nobody decides before the list; whole pages at random times; listed instances count as live for three seconds.

--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -85,6 +85,7 @@
     probing_settings probing;
     std::chrono::milliseconds leavingBound {3000}; ///< Time after which an endpoint that said that it leaves gets no new calls.
 
+    bool isFirstStart = false; ///< All instances start for the first time, within a moment, and no calls come yet.
     std::chrono::milliseconds configurationBound {0}; ///< Time within which a new configuration must be in force everywhere; 0: as soon as can be.
 
     /// Returns the region of a data centre, or an empty id when no region lists it.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -170,6 +170,7 @@
     fields.read("directory", settings.directoryAddress);
     fields.read("ready", settings.readyAddress);
     fields.read("leaving_bound", settings.leavingBound, milliseconds(100), milliseconds(60'000));
+    fields.read("first_start", settings.isFirstStart);
     fields.read("configuration_bound", settings.configurationBound, milliseconds(0), milliseconds(60'000));
     fields.read("stop_deadline", settings.stopDeadline, milliseconds(100), milliseconds(3'600'000));
     fields.readSeconds("grace_seconds", settings.stopDeadline, std::chrono::seconds(3600));
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -29,10 +29,11 @@
 // second.
 constexpr milliseconds kQuietListInterval {30'000};
 constexpr unsigned kListReadersPerSecond = 1;
-// Instances that start together may miss each other in the first one, and the budget of repeats is shared by the number of those listed.
+// Instances that enter themselves together miss each other in the first one, and the budget of repeats is shared by the number of those listed.
 constexpr unsigned kListReadsAtStart = 2;
 constexpr milliseconds kSecondListAfter {700}; ///< Instances that start together do so within half of this, and enter themselves then.
 constexpr unsigned kUnknownFleet = 1000; ///< Before the list was read, so that restarted instances do not each take the whole slack.
+constexpr milliseconds kMembersSettle {3000}; ///< From the first list on; all live instances of a data centre have been heard by then.
 constexpr milliseconds kSurveyInterval {500};
 constexpr milliseconds kLongestTick {1500}; ///< A longer gap between two ticks is a pause of the process.
 constexpr unsigned kReaders = 2; ///< Instances of a region that follow the log.
@@ -165,9 +166,9 @@
 
 // Returns the other instances of the data centre with their operators' addresses: the live ones, and at the start those listed as well, since
 // hardly any is known to live then. All instances serve operators at the same port.
-std::map<instance_id, host_port> control_plane::nearInstances(mono_time now, bool isStarting)
+std::map<instance_id, host_port> control_plane::nearInstances(mono_time now)
 {
-    auto near = isStarting ? m_listedNear : std::map<instance_id, host_port> {};
+    auto near = now < m_settledAt ? m_listedNear : std::map<instance_id, host_port> {};
     std::ranges::for_each(m_node.members().liveMembers(now), [&](const member_row &row) {
         if (row.id != m_settings.id) {
             near.insert_or_assign(row.id, host_port {row.gateway.host, m_settings.admin.port});
@@ -180,21 +181,21 @@
 void control_plane::followEndpoints(mono_time now)
 {
     const bool isStarting = !m_endpoints->isKnown();
-    const auto near = nearInstances(now, isStarting);
-    if (near.empty() && m_listed == 0) {
-        return;
+    if (isStarting && !m_isListAsked) {
+        return; // the first to be heard are few, and all would read
     }
+    const auto near = nearInstances(now);
     std::vector<instance_id> ids;
     std::ranges::copy(near | std::views::keys, std::back_inserter(ids));
+    m_near = near.size();
+    if (!mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near)) {
+        m_feed->setFollowing(true);
+    }
     const auto part = chooseReadingPart(m_settings.id, std::move(ids), isStarting);
     std::vector<host_port> others;
     std::ranges::transform(part.readers, std::back_inserter(others), [&](const instance_id &id) {
         return near.at(id);
     });
-    m_near = near.size();
-    if (!mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near)) {
-        m_feed->setFollowing(true);
-    }
     m_endpoints->setOthers(std::move(others), part.isReader);
 }
 
@@ -305,7 +306,7 @@
     m_prober.setPages(m_config->pools, m_settings.id, m_settings.dataCentre, m_live);
     record(event_kind::ConfigurationAccepted, std::to_string(m_config->version), fmt::format("before={} from={}", before, m_applyingPeer ? "peer" : "log"));
     if (!m_applyingPeer) {
-        m_node.configurationRead(before);
+        m_node.configurationRead(before, !m_endpoints || m_feed->isFollowing());
     }
     m_onNews();
 }
@@ -345,9 +346,15 @@
         if (listed) {
             takeList(*listed);
             ++reads;
+            m_isListed = std::ranges::find(*listed, m_settings.id, &listed_instance::id) != listed->end();
         } else {
             logTo(log_level::Warning, kPart, "The list of instances cannot be read. error=\"{}\"", toString(listed.error()));
         }
+        const auto now = monoNow();
+        if (!std::exchange(m_isListAsked, true)) {
+            m_settledAt = now + kMembersSettle;
+        }
+        followMembers(now);
         co_await pauseFor(listPause(listed.has_value(), reads));
     }
 }
@@ -357,7 +364,7 @@
     if (!isAnswered || m_settings.probing.count == 0) {
         return kListInterval;
     }
-    if (reads < kListReadsAtStart) {
+    if (reads < kListReadsAtStart && !m_isListed) {
         return kSecondListAfter;
     }
     return std::max<milliseconds>(kQuietListInterval, std::chrono::seconds(m_listed / kListReadersPerSecond));
@@ -378,7 +385,6 @@
         }
     });
     m_listed = std::max(m_listed, count);
-    followMembers(monoNow());
 }
 
 void control_plane::record(event_kind kind, std::string subject, std::string detail)
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -94,7 +94,7 @@
     void takeLeaving(const leaving_notice &notice);
     void publishRouting(mono_time now);
     std::shared_ptr<const configuration> withEndpoints() const;
-    std::map<instance_id, host_port> nearInstances(mono_time now, bool isStarting);
+    std::map<instance_id, host_port> nearInstances(mono_time now);
     void followEndpoints(mono_time now);
     locality place(mono_time now);
     void record(event_kind kind, std::string subject, std::string detail);
@@ -118,6 +118,9 @@
     std::map<instance_id, host_port> m_listedNear; ///< Other instances of the data centre that the list names, and their operators' addresses.
     std::size_t m_near = 0; ///< Other instances of the data centre that may be asked.
     reading_times m_readingTimes;
+    bool m_isListAsked = false; ///< The list was read, or did not come.
+    mono_time m_settledAt = mono_time::max(); ///< Until then the listed instances count as live.
+    bool m_isListed = false; ///< The list named this instance, and so those that were there before it.
     unsigned m_listed = 0; ///< Most instances that the platform's list named; 0: it was never read.
     std::vector<instance_id> m_live; ///< Live instances of the data centre.
     locality m_place;
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -25,9 +25,13 @@
 // Entries that lapsed while the service was away are back within two seconds of its return; half a second is for the way.
 constexpr milliseconds kReturnGrace {2500};
 constexpr milliseconds kRetry {500};
-constexpr std::chrono::seconds kWholeEvery {10};
-// The list of instances comes in one call to the service, across regions in an eighth of a second.
-constexpr milliseconds kOthersWait {400};
+// All entries are asked for now and then, and soon after another instance has become the reader: two of them may have told a change in different
+// order. Not by all at once, since a page of all entries takes a small reader milliseconds.
+constexpr milliseconds kWholeEvery {30'000};
+constexpr milliseconds kWholeAfterChange {5000};
+// The list of instances comes in one call to the service, across regions in an eighth of a second; when a whole fleet starts for the first time,
+// a second after all have entered themselves.
+constexpr milliseconds kOthersWait {1500};
 // A data centre's readers know all within a second even when its whole region starts at once; then each one reads for itself.
 constexpr milliseconds kAskAtStart {1500};
 constexpr milliseconds kAskAtStartPace {100};
@@ -61,6 +65,9 @@
 asio::awaitable<void> endpoint_feed::run()
 {
     bool isFollowing = co_await askAtStart();
+    if (!isFollowing) {
+        m_observer.onNothingTold();
+    }
     while (true) {
         bool isAnswered = isFollowing;
         if (!isAnswered) {
@@ -72,7 +79,7 @@
         publish();
         const auto answeredPace = isFollowing ? m_times.askPace : m_times.readPace;
         const auto pause = isAnswered ? answeredPace : kRetry;
-        co_await pauseFor(pause - milliseconds(m_random.below(static_cast<std::uint32_t>(pause.count() / 8))));
+        co_await pauseFor(pause - randomPart(pause / 8));
         isFollowing = co_await askReader();
     }
 }
@@ -80,26 +87,34 @@
 // Asks the instance that reads for the data centre, if it is another one. What this one knows it can only keep up to date so.
 asio::awaitable<bool> endpoint_feed::askReader()
 {
-    const bool hasReader = !m_isReader && !m_others.empty() && m_isKnown;
-    const bool isAnswered = hasReader && co_await askInstance(m_others.front());
-    if (!isAnswered) {
+    std::optional<told_configuration> told;
+    host_port reader;
+    if (!m_isReader && !m_others.empty() && m_isKnown) {
+        reader = m_others.front();
+        told = co_await askInstance(reader);
+    }
+    if (told) {
+        m_observer.onConfigurationTold(reader, *told);
+    } else {
         m_observer.onNothingTold();
     }
-    co_return isAnswered;
+    co_return told.has_value();
 }
 
 // Asks the others until one knows the endpoints: in turn one of the first two, which read at the start, and any, which may have learned from them.
 // So no reader has to tell all.
 asio::awaitable<bool> endpoint_feed::askAtStart()
 {
-    const auto begun = monoNow();
-    while (!m_areOthersSet && monoNow() < begun + kOthersWait) {
-        co_await m_othersSet.wait(begun + kOthersWait);
+    const auto listUntil = monoNow() + kOthersWait;
+    while (!m_areOthersSet && monoNow() < listUntil) {
+        co_await m_othersSet.wait(listUntil);
     }
-    for (unsigned i = 0; !m_isReader && !m_others.empty() && monoNow() < begun + kAskAtStart; ++i) {
+    const auto askUntil = monoNow() + kAskAtStart;
+    for (unsigned i = 0; !m_isReader && !m_others.empty() && monoNow() < askUntil; ++i) {
         const auto any = m_random.below(static_cast<std::uint32_t>(m_others.size()));
         const auto first = std::min<std::size_t>(i / 2 % 2, m_others.size() - 1);
-        if (co_await askInstance(m_others[i % 2 == 0 ? first : any])) {
+        // Who follows configurations is left to the first question to the reader: most of those asked here do not.
+        if (const auto told = co_await askInstance(m_others[i % 2 == 0 ? first : any])) {
             co_return true;
         }
         co_await pauseFor(kAskAtStartPace);
@@ -114,33 +129,46 @@
         co_return false;
     }
     m_asked = (m_asked + 1) % m_others.size();
-    co_return co_await askInstance(m_others[m_asked]);
+    const auto other = m_others[m_asked];
+    const auto told = co_await askInstance(other);
+    if (told) {
+        m_observer.onConfigurationTold(other, *told);
+    }
+    co_return told.has_value();
 }
 
-// Asks another instance for what it knows; false: it does not answer, or what it knows is too old.
-asio::awaitable<bool> endpoint_feed::askInstance(host_port other)
+// Asks another instance for what it knows and returns the configuration that it has; nothing: it does not answer, or what it knows is too old.
+asio::awaitable<std::optional<told_configuration>> endpoint_feed::askInstance(host_port other)
 {
     const auto asked = monoNow();
-    const bool wantsWhole = asked >= m_wholeDue;
+    if (other != m_teller) {
+        m_teller = other;
+        m_wholeDue = std::min(m_wholeDue, asked + randomPart(kWholeAfterChange));
+    }
+    const bool wantsWhole = !m_next || asked >= m_wholeDue;
     http_request request;
-    request.server = other;
-    request.path = endpointPagePath(wantsWhole ? 0 : m_next.value_or(0));
+    request.server = std::move(other);
+    request.path = endpointPagePath(wantsWhole ? 0 : *m_next);
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
     if (!answer || answer->status != kOk) {
-        co_return false;
+        co_return std::nullopt;
     }
     const auto page = parseEndpointPage(answer->body);
     if (!page || page->age > m_times.longestAge) {
-        co_return false;
+        co_return std::nullopt;
     }
     if (wantsWhole) {
-        m_wholeDue = asked + kWholeEvery;
+        m_wholeDue = asked + kWholeEvery / 2 + randomPart(kWholeEvery);
     }
     m_registry.discoveryAnswered(asked);
     m_asOf = std::max(m_asOf, asked - page->age);
     take(page->changes);
-    m_observer.onConfigurationTold(other, page->configuration);
-    co_return true;
+    co_return page->configuration;
+}
+
+milliseconds endpoint_feed::randomPart(milliseconds time)
+{
+    return milliseconds(m_random.below(static_cast<std::uint32_t>(time.count())));
 }
 
 asio::awaitable<bool> endpoint_feed::readService()
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -51,9 +51,10 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> askAtStart();
     boost::asio::awaitable<bool> askReader();
-    boost::asio::awaitable<bool> askInstance(host_port other);
+    boost::asio::awaitable<std::optional<told_configuration>> askInstance(host_port other);
     boost::asio::awaitable<bool> askAnother();
     boost::asio::awaitable<bool> readService();
+    std::chrono::milliseconds randomPart(std::chrono::milliseconds time);
     void take(const discovery_page &page);
     void publish();
 
@@ -70,7 +71,8 @@
     std::size_t m_asked = 0; ///< Of the others, asked in turn while the service does not answer.
     std::optional<log_offset> m_next; ///< From where to read on; nothing: all entries must be read.
     mono_time m_asOf {}; ///< What is known is at least as new as this.
-    mono_time m_wholeDue {}; ///< When all entries are asked for again, for a change that two readers told in different order.
+    host_port m_teller; ///< The instance that was asked last.
+    mono_time m_wholeDue = mono_time::max(); ///< When all entries are asked for again, for a change that two readers told in different order.
     std::uint64_t m_reads = 0;
     bool m_isKnown = false;
     bool m_hasFailed = false; ///< The last read of the service failed.
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -82,7 +82,7 @@
 
 bool isEmpty(const change_set &changes)
 {
-    return changes.chain.empty() && changes.state.empty();
+    return changes.chain.empty() && changes.state.empty() && changes.asOf == 0;
 }
 
 } // namespace
@@ -135,11 +135,13 @@
     m_sums.setOwn(std::move(facts));
 }
 
-void peer_node::configurationRead(config_version previous)
+void peer_node::configurationRead(config_version previous, bool pushes)
 {
     const auto &self = m_members.self();
     m_members.setSelf(m_parts.configuration->current()->version, self.load, self.ready);
-    pushChanges(previous);
+    if (pushes) {
+        pushChanges(previous);
+    }
     m_wake.notify();
 }
 
--- a/src/shell/peer/peer_node.h
+++ b/src/shell/peer/peer_node.h
@@ -70,8 +70,8 @@
     /// Sets the own figures of the pools that have endpoints in this data centre.
     void setPoolFacts(std::vector<pool_facts> facts);
 
-    /// Tells the others that a configuration came in force that this instance read from the log.
-    void configurationRead(config_version previous);
+    /// Notes that a configuration came in force that this instance read from the log. pushes: the others wait to hear of it from this instance.
+    void configurationRead(config_version previous, bool pushes);
 
     /// Notes that an instance of the data centre said that it has a configuration; peer: its address for other instances.
     void configurationHeard(const host_port &peer, config_version version);
--- a/tests/peer/peer_node_test.cpp
+++ b/tests/peer/peer_node_test.cpp
@@ -134,7 +134,7 @@
         });
 
         first.configuration.setVersion(7);
-        first.node.configurationRead(0);
+        first.node.configurationRead(0, true);
         first.node.announceLeaving(pool_name("quotes"), {"10.0.0.1", 80});
         awaitTrue([&] {
             return std::ranges::all_of(all, [](const node_under_test *item) {
