Find the others by seeds, read the settings file again, and bound openings to 1.5 s

Seeds were not used: an instance that the store turns away while it starts knew nobody. It asks them half a second after its start; one of another data centre answers with the summary of the asker's. Test: seedsLeadToTheOthersWhenTheListCannotBeRead. SIGHUP was only logged, and a change without a signal not noticed: the file is read at the signal and every 5 s; log level, seeds and the limits of repeats change at once, the rest at the next start (planChange(), aChangedFileChangesWhatItMay). A poll of 28 s waited as long for a connection: openings are bounded.

--- a/include/sequoiawharf/event.h
+++ b/include/sequoiawharf/event.h
@@ -37,6 +37,7 @@
     MemberSuspected,
     MemberLeaving,
     ReadinessChanged,
+    SettingsChanged,
     BudgetExhausted,
     StopStarted,
     StopEnded,
--- a/include/sequoiawharf/membership.h
+++ b/include/sequoiawharf/membership.h
@@ -22,6 +22,7 @@
 struct membership_settings {
     member_row self;
     std::vector<region_id> regions; ///< All regions.
+    std::vector<host_port> seeds; ///< Asked while the platform's list names nobody; some may be down, or be this instance itself.
     member_timeouts timeouts;
     std::chrono::milliseconds round {500}; ///< Between rounds of heartbeats within the data centre.
     unsigned partners = 2; ///< Instances of the data centre that a round goes to.
@@ -83,6 +84,9 @@
     /// Takes the platform's list. A hint only says whom to ask.
     void setHints(std::vector<member_hint> hints);
 
+    /// Sets whom to ask while the list names nobody.
+    void setSeeds(std::vector<host_port> seeds);
+
     /// Sets the figures that are summed with those of the other members.
     void setShares(std::vector<pool_share> shares);
 
--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -22,18 +22,24 @@
     std::uint32_t callerConnections = 20'000;
     std::chrono::milliseconds idleTimeout {60'000};
     std::chrono::milliseconds maxDeadline {600'000};
+
+    friend bool operator==(const gateway_limits &, const gateway_limits &) = default;
 };
 
 /// What measuring of load may cost an instance.
 struct measuring_limits {
     std::uint64_t bytesPerSecond = 4096;
     std::uint32_t messagesPerSecond = 20;
+
+    friend bool operator==(const measuring_limits &, const measuring_limits &) = default;
 };
 
 /// The instance's part of the link between regions.
 struct link_settings {
     std::uint64_t bytesPerSecond = 3'750'000; ///< Rate of the whole link in one direction; all instances share it.
     std::uint64_t controlBytesPerSecond = 4096; ///< Part that is kept for control, for each instance.
+
+    friend bool operator==(const link_settings &, const link_settings &) = default;
 };
 
 /// How many repeats (retries and hedges) all instances together may send to one pool within any window.
@@ -55,6 +61,8 @@
     unsigned wideCount = 3; ///< Endpoints asked in other data centres of the region when the own one looks slow or full.
     double perEndpointPerSecond = 0; ///< Most probes that all instances together send to an endpoint, on the mean; 0: no bound.
     std::uint32_t wideBytes = 8192; ///< A call with a larger body leaves its data centre only when nothing there can take it.
+
+    friend bool operator==(const probing_settings &, const probing_settings &) = default;
 };
 
 /// Everything that an instance learns from its settings file.
@@ -66,6 +74,7 @@
     host_port peer; ///< Serves other instances.
     host_port admin; ///< Serves operators: metrics, status, events.
     std::vector<host_port> platform; ///< Addresses of the platform's service.
+    std::vector<host_port> seeds; ///< Addresses for other instances of some that may run; asked when the platform's list cannot be read.
     std::map<region_id, std::vector<data_centre_id>> regions; ///< Every region with its data centres.
     unsigned threads = 4;
     std::string policy = "two-choices";
@@ -90,8 +99,20 @@
 
     /// Returns the region of a data centre, or an empty id when no region lists it.
     region_id regionOf(const data_centre_id &centre) const;
+
+    friend bool operator==(const instance_settings &, const instance_settings &) = default;
+};
+
+/// What a changed settings file means for an instance that runs.
+struct settings_change {
+    instance_settings next; ///< To run with from now on.
+    bool isInForce = false; ///< Something changes now: the level of the log, the seeds, or the limits of repeats.
+    bool waitsForStart = false; ///< Something else holds from the next start only.
 };
 
+/// Returns what to do when the file holds other settings than those that an instance runs with. Thread safe.
+settings_change planChange(const instance_settings &running, const instance_settings &read);
+
 /// Reads settings from YAML text. The error lists every fault at once, each with its line and the allowed range. Thread safe.
 tl::expected<instance_settings, std::vector<table_fault>> parseSettings(const std::string &text);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,7 +10,6 @@
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -54,37 +53,33 @@
     return text.str();
 }
 
-std::optional<instance_settings> loadSettings(const std::string &path)
+// Returns the settings, or a line for each fault.
+tl::expected<instance_settings, std::string> readSettings(const std::string &path)
 {
     const auto text = readFile(path);
     if (!text) {
-        fmt::print(stderr, "{}: the file cannot be read\n", path);
-        return std::nullopt;
+        return tl::unexpected(fmt::format("{}: the file cannot be read\n", path));
     }
     auto settings = parseSettings(*text);
     if (!settings) {
+        std::string faults;
         std::ranges::for_each(settings.error(), [&](const table_fault &fault) {
-            fmt::print(stderr, "{}:{}: {}\n", path, fault.line, fault.message);
+            faults += fmt::format("{}:{}: {}\n", path, fault.line, fault.message);
         });
-        return std::nullopt;
+        return tl::unexpected(std::move(faults));
     }
     if (!makeSelectionPolicy(settings->policy)) {
-        fmt::print(stderr, "{}: settings: \"policy\" names \"{}\", which does not exist\n", path, settings->policy);
-        return std::nullopt;
+        return tl::unexpected(fmt::format("{}: settings: \"policy\" names \"{}\", which does not exist\n", path, settings->policy));
     }
     return std::move(*settings);
 }
 
-log_level toLevel(const std::string &name)
-{
-    static constexpr std::array<std::string_view, 4> kNames {"debug", "info", "warning", "error"};
-    return static_cast<log_level>(std::ranges::find(kNames, name) - kNames.begin());
-}
-
-int runInstance(instance_settings settings, surroundings &outside)
+int runInstance(instance_settings settings, surroundings &outside, const std::string &path)
 {
-    setLogLevel(toLevel(settings.logLevel));
-    instance entry(std::move(settings), outside);
+    setLogLevel(toLogLevel(settings.logLevel));
+    instance entry(std::move(settings), outside, [path] {
+        return readSettings(path);
+    });
     if (const auto started = entry.start(); !started) {
         fmt::print(stderr, "{}\n", started.error());
         return kExitCannotListen;
@@ -97,13 +92,14 @@
 int sequoiawharf::runDaemon(int argc, char **argv, surroundings &outside, const std::string &defaultSettings)
 {
     const auto options = parseArguments(argc, argv, defaultSettings);
-    auto settings = loadSettings(options.settingsPath);
+    auto settings = readSettings(options.settingsPath);
     if (!settings) {
+        fmt::print(stderr, "{}", settings.error());
         return kExitBadSettings;
     }
     if (options.checkOnly) {
         fmt::print("{}: the settings are sound\n", options.settingsPath);
         return kExitOk;
     }
-    return runInstance(std::move(*settings), outside);
+    return runInstance(std::move(*settings), outside, options.settingsPath);
 }
--- a/src/membership/heartbeat_intake.cpp
+++ b/src/membership/heartbeat_intake.cpp
@@ -46,6 +46,11 @@
     auto reply = my.compose(kind, kind == control_kind::DataCentre ? nullptr : &message.sender.dataCentre, now, random);
     reply.rows = my.rowsFor(message.wanted);
     my.wanted.clear();
+    // A message to a seed bears no summary as those between data centres do: its sender knows nobody in its own one.
+    const auto *const senders = kind == control_kind::DataCentre || !message.centres.empty() ? nullptr : my.centres.find(message.sender.dataCentre);
+    if (senders != nullptr) {
+        reply.centres.push_back(senders->summary);
+    }
     if (!my.budget.admit(kind, arrived + encodedBound(reply), now)) {
         return std::nullopt;
     }
@@ -140,6 +145,7 @@
     std::ranges::for_each(message.centres, [&](const centre_summary &summary) {
         if (summary.dataCentre == self.dataCentre) {
             stamp = std::max(stamp, summary.stamp);
+            takeAsHints(summary);
             return;
         }
         const auto *const known = centres.find(summary.dataCentre);
@@ -168,6 +174,20 @@
     });
 }
 
+// Takes from others what is known elsewhere of the own data centre, when nobody is known here.
+void membership::state::takeAsHints(const centre_summary &own)
+{
+    if (!hints.empty() || !members.entries().empty()) {
+        return;
+    }
+    std::ranges::for_each(own.entries, [this](const member_row &row) {
+        if (row.id != self.id) {
+            hints.push_back({row.id, row.peer, row.dataCentre, row.region});
+            roundDue = {};
+        }
+    });
+}
+
 void membership::state::absorbLeaving(const heartbeat_message &message, mono_time now)
 {
     const bool fromElsewhere = message.sender.dataCentre != self.dataCentre;
--- a/src/membership/heartbeat_plan.cpp
+++ b/src/membership/heartbeat_plan.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMaxShares = 32;
 constexpr std::size_t kExchangeOverhead = 320; ///< HTTP/2 and TCP/IP around a request and its answer.
 constexpr std::size_t kFirstHints = 3; ///< Asked at once while no member is known, since some of the list may be down.
+constexpr std::chrono::milliseconds kSeedsAfter {500}; ///< The list comes earlier when it can be read, also across regions.
 constexpr std::uint64_t kOddRound = 4; ///< Every so many rounds one partner is somebody who is not live.
 const std::string kEntryRole = "entry";
 
@@ -71,7 +72,21 @@
     shuffleFront(live, all ? live.size() : settings.partners, random);
     shuffleFront(others, all ? others.size() : (odd ? 1 : 0) + (live.empty() ? std::max<std::size_t>(settings.partners, kFirstHints) : 0), random);
     live.insert(live.end(), others.begin(), others.end());
-    return live;
+    return live.empty() ? chooseSeeds(now, random) : live;
+}
+
+// Returns seeds to ask when nobody else is known: the platform's list may be out of reach for this instance alone.
+std::vector<host_port> membership::state::chooseSeeds(mono_time now, random_source &random) const
+{
+    if (!hints.empty() || now - started < kSeedsAfter) {
+        return {};
+    }
+    std::vector<host_port> asked;
+    std::ranges::copy_if(settings.seeds, std::back_inserter(asked), [this](const host_port &seed) {
+        return seed != self.peer;
+    });
+    shuffleFront(asked, kFirstHints, random);
+    return asked;
 }
 
 std::optional<host_port> membership::state::chooseHint(const region_id *region, const data_centre_id *centre, random_source &random) const
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -30,6 +30,7 @@
     , poolRumours(kRumourSends)
     , leavingRumours(kLeavingSends)
     , roundDue(now)
+    , started(now)
     , lastTick(now)
     , pausedAt(now)
 {
@@ -105,6 +106,11 @@
     }
 }
 
+void membership::setSeeds(std::vector<host_port> seeds)
+{
+    m_state->settings.seeds = std::move(seeds);
+}
+
 void membership::setShares(std::vector<pool_share> shares)
 {
     m_state->shares = std::move(shares);
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -37,6 +37,7 @@
     void planLinks(mono_time now, random_source &random, std::vector<heartbeat_action> &out);
     void planLink(const std::string &role, control_kind kind, mono_time now, random_source &random, std::vector<heartbeat_action> &out);
     std::vector<host_port> chooseRoundPartners(mono_time now, random_source &random);
+    std::vector<host_port> chooseSeeds(mono_time now, random_source &random) const;
     std::optional<host_port> chooseLinkPartner(const std::string &role, control_kind kind, mono_time now, random_source &random) const;
     std::optional<host_port> chooseHint(const region_id *region, const data_centre_id *centre, random_source &random) const;
     std::vector<host_port> chooseHints(const region_id *region, const data_centre_id *centre, std::size_t count, random_source &random) const;
@@ -54,6 +55,7 @@
     bool knowsOthersHere() const;
     void absorbMembers(const heartbeat_message &message, mono_time now);
     void absorbCentres(const heartbeat_message &message, mono_time now);
+    void takeAsHints(const centre_summary &own);
     void absorbLeaving(const heartbeat_message &message, mono_time now);
     void noteNews(member_news news, const instance_id &instance);
     void noteSuspects(mono_time now);
@@ -83,6 +85,7 @@
     std::map<std::string, link_retry> linkRetries;
     std::uint64_t stamp = 0; ///< Newest stamp that was seen or given for the own data centre.
     mono_time roundDue;
+    mono_time started;
     mono_time lastTick;
     std::optional<mono_time> pausedAt; ///< Set until a member was heard after a pause.
     std::uint64_t rounds = 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -78,15 +78,15 @@
     fields.refuseUnknown();
 }
 
-void readPlatform(yaml_fields &fields, instance_settings &settings)
+void readAddresses(yaml_fields &fields, const std::string &key, std::vector<host_port> &addresses)
 {
     std::vector<std::string> texts;
-    fields.read("platform", texts);
+    fields.read(key, texts);
     std::ranges::for_each(texts, [&](const std::string &text) {
         if (const auto address = parseHostPort(text)) {
-            settings.platform.push_back(*address);
+            addresses.push_back(*address);
         } else {
-            fields.fault("platform", fmt::format("holds \"{}\", which is not an IP number and a port", text));
+            fields.fault(key, fmt::format("holds \"{}\", which is not an IP number and a port", text));
         }
     });
 }
@@ -156,7 +156,8 @@
     fields.read("gateway", settings.gateway);
     fields.read("peer", settings.peer);
     fields.read("admin", settings.admin);
-    readPlatform(fields, settings);
+    readAddresses(fields, "platform", settings.platform);
+    readAddresses(fields, "seeds", settings.seeds);
     readRegions(fields, settings);
     readDataCentres(fields, settings);
     fields.readNumber("threads", settings.threads, 1, 256);
@@ -194,6 +195,17 @@
     return match == regions.end() ? region_id {} : match->first;
 }
 
+settings_change planChange(const instance_settings &running, const instance_settings &read)
+{
+    settings_change change {.next = running};
+    change.next.logLevel = read.logLevel;
+    change.next.seeds = read.seeds;
+    change.next.repeats = read.repeats;
+    change.isInForce = change.next != running;
+    change.waitsForStart = change.next != read;
+    return change;
+}
+
 tl::expected<instance_settings, std::vector<table_fault>> parseSettings(const std::string &text)
 {
     std::vector<table_fault> faults;
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -36,6 +36,7 @@
 
 constexpr const char *kInstancePart = "instance";
 constexpr milliseconds kTick {100};
+constexpr std::chrono::seconds kReread {5}; ///< The settings file may change without a signal; reading it takes a small fraction of a millisecond.
 constexpr std::size_t kKeptEvents = 4096;
 constexpr milliseconds kStopMargin {50}; ///< Between the last call's end and the stop's deadline, for the process to end.
 
@@ -66,7 +67,7 @@
 class instance::implementation
 {
 public:
-    implementation(instance_settings settings, surroundings &outside);
+    implementation(instance_settings settings, surroundings &outside, settings_reader reread);
     ~implementation();
     implementation(const implementation &) = delete;
     implementation &operator=(const implementation &) = delete;
@@ -81,6 +82,7 @@
     void onSignal(int number);
     asio::awaitable<void> tickLoop();
     void refreshReadiness();
+    void rereadSettings();
     void updateStop(mono_time now);
     instance_summary summary() const;
     void record(event_kind kind, std::string detail);
@@ -88,6 +90,10 @@
     // The control thread uses the members up to the gateway, once it runs.
     instance_settings m_settings;
     surroundings &m_outside;
+    settings_reader m_reread;
+    instance_settings m_onFile; ///< What the settings file said last.
+    std::string m_fileFault; ///< What was wrong with it last.
+    mono_time m_rereadDue {};
     incarnation m_process;
     event_recorder m_events;
     gateway_metrics m_metrics;
@@ -109,9 +115,11 @@
     std::thread m_controlThread;
 };
 
-instance::implementation::implementation(instance_settings settings, surroundings &outside)
+instance::implementation::implementation(instance_settings settings, surroundings &outside, settings_reader reread)
     : m_settings(std::move(settings))
     , m_outside(outside)
+    , m_reread(std::move(reread))
+    , m_onFile(m_settings)
     , m_process(newIncarnation())
     , m_events(m_settings.id, kKeptEvents)
     , m_metrics(m_settings.threads)
@@ -219,6 +227,10 @@
         m_plane.tick(now);
         refreshReadiness();
         updateStop(now);
+        if (now >= m_rereadDue) {
+            m_rereadDue = now + kReread;
+            rereadSettings();
+        }
         timer.expires_after(kTick);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -263,7 +275,8 @@
 void instance::implementation::onSignal(int number)
 {
     if (number == SIGHUP) {
-        return logTo(log_level::Info, kInstancePart, "The settings file has changed. What it says holds from the next start.");
+        logTo(log_level::Info, kInstancePart, "Asked to read the settings file again.");
+        return rereadSettings();
     }
     const auto inFlight = m_gateway.callsInFlight();
     logTo(log_level::Info, kInstancePart, "Stopping. signal={} calls_in_flight={}", number, inFlight);
@@ -278,6 +291,34 @@
     updateStop(now);
 }
 
+// Takes what may change in a running process from the settings file. A faulty file changes nothing. Only the control thread uses these settings.
+void instance::implementation::rereadSettings()
+{
+    if (!m_reread) {
+        return;
+    }
+    auto read = m_reread();
+    if (!read) {
+        if (std::exchange(m_fileFault, read.error()) != read.error()) {
+            logTo(log_level::Warning, kInstancePart, "The settings file is faulty and changes nothing. why=\"{}\"", m_fileFault);
+        }
+        return;
+    }
+    m_fileFault.clear();
+    if (*read == m_onFile) {
+        return;
+    }
+    m_onFile = std::move(*read);
+    const auto change = planChange(m_settings, m_onFile);
+    m_settings.logLevel = change.next.logLevel;
+    m_settings.repeats = change.next.repeats;
+    m_settings.seeds = change.next.seeds;
+    setLogLevel(toLogLevel(m_settings.logLevel));
+    m_plane.node().setSeeds(m_settings.seeds);
+    logTo(log_level::Info, kInstancePart, "The settings file has changed. in_force={} waits_for_start={}", change.isInForce, change.waitsForStart);
+    record(event_kind::SettingsChanged, fmt::format("in_force={} waits_for_start={}", change.isInForce, change.waitsForStart));
+}
+
 void instance::implementation::updateStop(mono_time now)
 {
     const auto phase = m_stop.update(m_gateway.callsInFlight(), now);
@@ -308,8 +349,8 @@
     return {cut};
 }
 
-instance::instance(instance_settings settings, surroundings &outside)
-    : m_implementation(std::make_unique<implementation>(std::move(settings), outside))
+instance::instance(instance_settings settings, surroundings &outside, settings_reader reread)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), outside, std::move(reread)))
 {
 }
 
--- a/src/shell/instance/instance.h
+++ b/src/shell/instance/instance.h
@@ -4,6 +4,7 @@
 
 #include <tl/expected.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -12,6 +13,9 @@
 
 class surroundings;
 
+/// Reads the settings, or says what is wrong with them.
+using settings_reader = std::function<tl::expected<instance_settings, std::string>()>;
+
 /// How an instance came to its end.
 struct stop_report {
     std::size_t callsCut = 0; ///< Calls that the stop's deadline ended.
@@ -21,8 +25,8 @@
 class instance
 {
 public:
-    /// outside outlives the instance.
-    instance(instance_settings settings, surroundings &outside);
+    /// outside outlives the instance. reread: reads the settings again, on the control thread; null: they never change.
+    instance(instance_settings settings, surroundings &outside, settings_reader reread = nullptr);
     ~instance();
     instance(const instance &) = delete;
     instance &operator=(const instance &) = delete;
--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 namespace sequoiawharf
 {
 
@@ -22,6 +24,10 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+// An opening takes one round trip, or a second more when its first packet is lost. A call that waits long for its answer must not wait as long for a
+// server that is not there.
+constexpr std::chrono::milliseconds kLongestConnect {1500};
+
 http::request<http::string_body> toBeast(http_request &&request)
 {
     http::request<http::string_body> out;
@@ -46,13 +52,14 @@
         co_return tl::unexpected(http_error::NotSent);
     }
     beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(timeout);
+    stream.expires_after(std::min(timeout, kLongestConnect));
     const asio::ip::tcp::endpoint server(address, request.server.port);
     co_await stream.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return tl::unexpected(http_error::NotSent);
     }
 
+    stream.expires_after(timeout);
     noticeSilence(stream.socket());
     const auto maxAnswerBytes = request.maxAnswerBytes;
     const auto message = toBeast(std::move(request));
--- a/src/shell/net/log.cpp
+++ b/src/shell/net/log.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/net/log.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -62,6 +63,13 @@
 
 } // namespace
 
+log_level toLogLevel(std::string_view name)
+{
+    static constexpr std::array kLevels {log_level::Debug, log_level::Info, log_level::Warning, log_level::Error};
+    const auto *const found = std::ranges::find(kLevels, name, nameOf);
+    return found == kLevels.end() ? log_level::Info : *found;
+}
+
 void setLogLevel(log_level level)
 {
     minimumLevel.store(level, std::memory_order_relaxed);
--- a/src/shell/net/log.h
+++ b/src/shell/net/log.h
@@ -9,6 +9,9 @@
 
 enum class log_level { Debug, Info, Warning, Error };
 
+/// Returns the level of a name such as "info"; Info for other names. Thread safe.
+log_level toLogLevel(std::string_view name);
+
 /// Sets the lowest level that is written. Thread safe.
 void setLogLevel(log_level level);
 
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -40,6 +40,7 @@
     to.self.peer = from.peer;
     to.self.dataCentre = from.dataCentre;
     to.self.region = from.region;
+    to.seeds = from.seeds;
     std::ranges::copy(from.regions | std::views::keys, std::back_inserter(to.regions));
     to.bytesPerSecond = kControlBytesPerSecond;
     to.linkBytesPerSecond = from.link.controlBytesPerSecond;
--- a/src/shell/peer/peer_node.h
+++ b/src/shell/peer/peer_node.h
@@ -64,6 +64,12 @@
     /// Takes the platform's list of instances.
     void setHints(std::vector<member_hint> hints);
 
+    /// Sets whom to ask while the list names nobody.
+    void setSeeds(std::vector<host_port> seeds)
+    {
+        m_members.setSeeds(std::move(seeds));
+    }
+
     /// Sets what the others are told. load: use of the processor in percent. ready: the daemon would take callers.
     void setStatus(std::uint8_t load, bool ready);
 
--- a/src/timeline/event.cpp
+++ b/src/timeline/event.cpp
@@ -40,6 +40,8 @@
         return "member-leaving";
     case event_kind::ReadinessChanged:
         return "readiness-changed";
+    case event_kind::SettingsChanged:
+        return "settings-changed";
     case event_kind::BudgetExhausted:
         return "budget-exhausted";
     case event_kind::StopStarted:
--- a/tests/membership/fleet.cpp
+++ b/tests/membership/fleet.cpp
@@ -42,6 +42,7 @@
     row.dataCentre = data_centre_id(centre);
     row.region = region_id(regionOf(centre));
     instance->settings.regions = m_regions;
+    instance->settings.seeds = seeds;
     instance->members = std::make_unique<membership>(instance->settings, m_now);
     auto &slot = m_instances[name];
     if (slot) {
--- a/tests/membership/fleet.h
+++ b/tests/membership/fleet.h
@@ -64,6 +64,7 @@
     }
 
     std::function<bool(const std::string &from, const std::string &to)> cut; ///< True: nothing passes.
+    std::vector<host_port> seeds; ///< Of instances that are added from now on.
     double dropRate = 0;
     double doubleRate = 0;
     std::chrono::milliseconds jitter {5};
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST_SUITE(membership_test);
     CPPUNIT_TEST(findsAllFromAList);
     CPPUNIT_TEST(newInstanceIsKnownWithoutTheList);
+    CPPUNIT_TEST(seedsLeadToTheOthersWhenTheListCannotBeRead);
     CPPUNIT_TEST(deadInstanceIsNotHandedOut);
     CPPUNIT_TEST(suspectReturnsWhenHeard);
     CPPUNIT_TEST(leavingInstanceIsNotHandedOut);
@@ -98,6 +99,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {4}, fresh.members->liveMembers(all.now()).size());
     }
 
+    // The pattern: the store turns one instance away while it starts again.
+    void seedsLeadToTheOthersWhenTheListCannotBeRead()
+    {
+        // In the own data centre, in another one of the region, and in another region.
+        for (const auto *const seed : {"n0", "n1", "n2"}) {
+            fleet all(2);
+            addAll(all, 3);
+            all.run(8s);
+            all.seeds = {{"10.9.9.9", 1}, all.at(seed).settings.self.peer};
+            const auto &fresh = all.add("fresh", "north/a");
+            all.run(4s);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(seed, std::size_t {4}, fresh.members->liveMembers(all.now()).size());
+            CPPUNIT_ASSERT(handsOut(all, all.at("n4"), "fresh"));
+        }
+    }
+
     void deadInstanceIsNotHandedOut()
     {
         fleet all(3);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -34,9 +34,26 @@
     CPPUNIT_TEST(listsAllFaultsAtOnce);
     CPPUNIT_TEST(refusesDataCentreOfAnotherRegion);
     CPPUNIT_TEST(refusesBrokenYaml);
+    CPPUNIT_TEST(aChangedFileChangesWhatItMay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void aChangedFileChangesWhatItMay()
+    {
+        const auto running = *parseSettings(kMinimal);
+        const auto same = planChange(running, running);
+        CPPUNIT_ASSERT(!same.isInForce && !same.waitsForStart && same.next == running);
+
+        const auto tuned = *parseSettings(kMinimal + "seeds: [10.0.0.9:1]\nlog_level: debug\nrepeats: {ratio: 0.1, slack: 5}\n");
+        const auto now = planChange(running, tuned);
+        CPPUNIT_ASSERT(now.isInForce && !now.waitsForStart && now.next == tuned);
+
+        const auto moved = *parseSettings(kMinimal + "threads: 9\nlog_level: debug\n");
+        const auto partly = planChange(running, moved);
+        CPPUNIT_ASSERT(partly.isInForce && partly.waitsForStart);
+        CPPUNIT_ASSERT(partly.next.threads == running.threads && partly.next.logLevel == "debug");
+    }
+
     void readsMinimalSettings()
     {
         const auto settings = parseSettings(kMinimal + "directory_lifetime: 3s\n");
