Begin polls anew when the store is back

Ruled out: hanging openings (bounded before, same fault). Change: when discovery answers again, a call that waits is begun anew.

--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -55,6 +55,9 @@
     /// Takes in what a peer passed on. Returns true when a newer configuration came in force.
     virtual bool applyPeer(const change_set &changes) = 0;
 
+    /// Begins calls to the service again that still wait for an answer: it was away and is back, and may have forgotten them.
+    virtual void reconnect() = 0;
+
     /// Has the source asked again before the instance is ready, as after a pause of the process.
     virtual void requireCheck() = 0;
 
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -212,6 +212,11 @@
     m_feed->setFollowing(true);
 }
 
+void control_plane::onServiceBack()
+{
+    m_feed->reconnect();
+}
+
 void control_plane::surveyAll(mono_time now)
 {
     m_node.setPoolFacts(poolFacts(now));
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -81,6 +81,7 @@
     void onEndpoints(std::map<pool_name, std::vector<endpoint>> endpoints) override;
     void onConfigurationTold(const host_port &teller, const told_configuration &told) override;
     void onNothingTold() override;
+    void onServiceBack() override;
     std::shared_ptr<const configuration> current() const override;
     change_set changesSince(config_version version) const override;
     bool apply(const change_set &changes) override;
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -94,6 +94,7 @@
         told = co_await askInstance(reader);
     }
     if (told) {
+        noteAnswer();
         m_observer.onConfigurationTold(reader, *told);
     } else {
         m_observer.onNothingTold();
@@ -194,16 +195,22 @@
         m_registry.discoveryLost(asked);
         co_return false;
     }
-    if (m_hasFailed) {
-        logTo(log_level::Info, kFeedPart, "Discovery answers again. endpoints={}", m_registry.size());
-    }
-    m_hasFailed = false;
     m_registry.discoveryAnswered(asked);
     m_asOf = asked;
     take(*page);
+    noteAnswer();
     co_return true;
 }
 
+// Notes that the service answers, this instance or the one that reads for it.
+void endpoint_feed::noteAnswer()
+{
+    if (std::exchange(m_hasFailed, false)) {
+        logTo(log_level::Info, kFeedPart, "Discovery answers again. endpoints={}", m_registry.size());
+        m_observer.onServiceBack();
+    }
+}
+
 void endpoint_feed::take(const discovery_page &page)
 {
     m_registry.take(page, monoNow());
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -54,6 +54,7 @@
     boost::asio::awaitable<std::optional<told_configuration>> askInstance(host_port other);
     boost::asio::awaitable<bool> askAnother();
     boost::asio::awaitable<bool> readService();
+    void noteAnswer();
     std::chrono::milliseconds randomPart(std::chrono::milliseconds time);
     void take(const discovery_page &page);
     void publish();
--- a/src/shell/instance/endpoint_source.h
+++ b/src/shell/instance/endpoint_source.h
@@ -23,6 +23,9 @@
     /// must hear of configurations by itself.
     virtual void onConfigurationTold(const host_port &teller, const told_configuration &told) = 0;
     virtual void onNothingTold() = 0;
+
+    /// The service answers again after it did not answer this instance.
+    virtual void onServiceBack() = 0;
 };
 
 } // namespace sequoiawharf
--- a/src/shell/platform/config_feed.h
+++ b/src/shell/platform/config_feed.h
@@ -42,6 +42,10 @@
 
     /// Chooses whether this instance follows the log all the time, which is the default, or leaves that to peers that pass changes on.
     void setFollowing(bool following) override;
+    void reconnect() override
+    {
+        // Its polls wait for a second only.
+    }
     bool isFollowing() const override
     {
         return m_following;
