--- /dev/null
+++ b/tests/instance/deflated_test.cpp
@@ -0,0 +1,57 @@
+#include "src/shell/net/deflated.h"
+
+#include "tests/property.h"
+
+#include <string>
+
+namespace sequoiawharf
+{
+
+namespace
+{
+
+constexpr std::size_t kBound = 4U << 20U;
+
+class deflated_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(deflated_test);
+    CPPUNIT_TEST(anyTextComesBack);
+    CPPUNIT_TEST(aLongTextIsSmall);
+    CPPUNIT_TEST(damagedBytesAreNoText);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void anyTextComesBack()
+    {
+        testing::checkProperty("a text comes back", [](const std::string &text) {
+            RC_ASSERT(inflated(deflated(text), kBound) == text);
+        });
+    }
+
+    void aLongTextIsSmall()
+    {
+        std::string text;
+        for (int i = 0; i < 20'000; ++i) {
+            text += R"({"name":"r)" + std::to_string(i) + R"(","host":"a.example"})";
+        }
+        const auto bytes = deflated(text);
+        CPPUNIT_ASSERT(bytes.size() * 5 < text.size() && inflated(bytes, kBound) == text);
+        CPPUNIT_ASSERT_MESSAGE("a longer text than is wanted", !inflated(bytes, text.size() / 2));
+    }
+
+    void damagedBytesAreNoText()
+    {
+        CPPUNIT_ASSERT(!inflated({}, kBound));
+        testing::checkProperty("a cut or any bytes are read or refused", [](const std::string &text, const std::string &any) {
+            const auto whole = deflated(text);
+            RC_ASSERT(!inflated(std::string_view(whole).substr(0, whole.size() - 1), kBound).has_value() || whole.size() < 2);
+            inflated(any, kBound);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(deflated_test);
+
+} // namespace
+
+} // namespace sequoiawharf
