Let few instances try a store that is away

Change: an instance of a large data centre whose reader knows too little and whom the store does not answer either tries again after 2 to 3 s, and asks the reader meanwhile; it follows configurations itself only when the store answers it. Test: whileTheStoreIsAwayFewAskIt. Inflation notices the stream's end only when a byte follows: padded.

--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -25,6 +25,9 @@
 // Entries that lapsed while the service was away are back within two seconds of its return; half a second is for the way.
 constexpr milliseconds kReturnGrace {2500};
 constexpr milliseconds kRetry {500};
+// While the service answers neither the reader nor this instance, this one asks the reader, which tries all the time, and the service only now and
+// then: in a large data centre the tries of all would be most of what the service gets.
+constexpr milliseconds kOwnRetry {2000};
 // All entries are asked for now and then, and soon after another instance has become the reader: two of them may have told a change in different
 // order. Not by all at once, since a page of all entries takes a small reader milliseconds.
 constexpr milliseconds kWholeEvery {30'000};
@@ -70,8 +73,14 @@
     }
     while (true) {
         bool isAnswered = isFollowing;
-        if (!isAnswered) {
+        if (!isAnswered && monoNow() >= m_ownReadDue) {
             isAnswered = co_await readService();
+            // The reader could not tell enough, and the service answers this instance: configurations must be heard of from there, too.
+            if (isAnswered) {
+                m_observer.onNothingTold();
+            } else if (!m_isReader && m_others.size() >= kSmallDataCentre) {
+                m_ownReadDue = monoNow() + kOwnRetry + randomPart(kOwnRetry / 2);
+            }
         }
         if (!isAnswered) {
             isAnswered = co_await askAnother();
@@ -96,8 +105,6 @@
     if (told) {
         noteAnswer();
         m_observer.onConfigurationTold(reader, *told);
-    } else {
-        m_observer.onNothingTold();
     }
     co_return told.has_value();
 }
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -72,6 +72,7 @@
     std::size_t m_asked = 0; ///< Of the others, asked in turn while the service does not answer.
     std::optional<log_offset> m_next; ///< From where to read on; nothing: all entries must be read.
     mono_time m_asOf {}; ///< What is known is at least as new as this.
+    mono_time m_ownReadDue {}; ///< This instance does not read the service before.
     host_port m_teller; ///< The instance that was asked last.
     mono_time m_wholeDue = mono_time::max(); ///< When all entries are asked for again, for a change that two readers told in different order.
     std::uint64_t m_reads = 0;
--- a/src/shell/net/deflated.cpp
+++ b/src/shell/net/deflated.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/beast/zlib.hpp>
 
-#include <algorithm>
+#include <utility>
 
 namespace sequoiawharf
 {
@@ -13,21 +13,26 @@
 namespace zlib = boost::beast::zlib;
 
 constexpr std::size_t kPieceBytes = 64U << 10U;
+constexpr char kPadding = 0;
 
 } // namespace
 
 std::string deflated(std::string_view text)
 {
     zlib::deflate_stream stream;
-    std::string out(stream.upper_bound(text.size()), '\0');
+    std::string out;
     zlib::z_params step;
     step.next_in = text.data();
     step.avail_in = text.size();
-    step.next_out = out.data();
-    step.avail_out = out.size();
-    boost::system::error_code ended;
-    stream.write(step, zlib::Flush::finish, ended);
-    out.resize(step.total_out);
+    boost::system::error_code error;
+    while (error != zlib::error::end_of_stream) {
+        const auto before = out.size();
+        out.resize(before + kPieceBytes);
+        step.next_out = out.data() + before;
+        step.avail_out = kPieceBytes;
+        stream.write(step, zlib::Flush::finish, error);
+        out.resize(before + kPieceBytes - step.avail_out);
+    }
     return out;
 }
 
@@ -39,6 +44,7 @@
     step.next_in = bytes.data();
     step.avail_in = bytes.size();
     boost::system::error_code error;
+    bool isPadded = false;
     while (!error && out.size() <= maxTextBytes) {
         const auto before = out.size();
         out.resize(before + kPieceBytes);
@@ -46,8 +52,14 @@
         step.avail_out = kPieceBytes;
         stream.write(step, zlib::Flush::sync, error);
         out.resize(before + kPieceBytes - step.avail_out);
-        if (!error && out.size() == before) {
-            return std::nullopt; // nothing more comes of these bytes
+        if (step.avail_in == 0 && std::exchange(isPadded, true)) {
+            break; // nothing more comes of these bytes
+        }
+        if (step.avail_in == 0 && error != zlib::error::end_of_stream) {
+            // The stream notices its end only when a byte follows.
+            step.next_in = &kPadding;
+            step.avail_in = 1;
+            error = {};
         }
     }
     const bool isWhole = error == zlib::error::end_of_stream && out.size() <= maxTextBytes;
