End inflation without progress, and let the test of bounded openings not block

The instance test took over two minutes and ran into its limit. Cause, from its output: the openings that fill the listener's queue were blocking ones (Asio waits in connect() also on a non-blocking socket), 127 s each. They are asynchronous now.

--- a/src/shell/net/deflated.cpp
+++ b/src/shell/net/deflated.cpp
@@ -47,15 +47,18 @@
     bool isPadded = false;
     while (!error && out.size() <= maxTextBytes) {
         const auto before = out.size();
+        const auto left = step.avail_in;
         out.resize(before + kPieceBytes);
         step.next_out = out.data() + before;
         step.avail_out = kPieceBytes;
         stream.write(step, zlib::Flush::sync, error);
         out.resize(before + kPieceBytes - step.avail_out);
-        if (step.avail_in == 0 && std::exchange(isPadded, true)) {
+        const bool hasProgressed = out.size() > before || step.avail_in < left;
+        if (!hasProgressed || (step.avail_in == 0 && isPadded)) {
             break; // nothing more comes of these bytes
         }
         if (step.avail_in == 0 && error != zlib::error::end_of_stream) {
+            isPadded = true;
             // The stream notices its end only when a byte follows.
             step.next_in = &kPadding;
             step.avail_in = 1;
--- a/tests/instance/http_client_test.cpp
+++ b/tests/instance/http_client_test.cpp
@@ -35,10 +35,7 @@
         asio::ip::tcp::socket first(context);
         asio::ip::tcp::socket second(context);
         for (auto *const socket : {&first, &second}) {
-            socket->open(address.protocol());
-            socket->non_blocking(true);
-            boost::system::error_code ignored;
-            socket->connect(listener.local_endpoint(), ignored);
+            socket->async_connect(listener.local_endpoint(), [](const boost::system::error_code & /*error*/) { });
         }
         const auto begun = std::chrono::steady_clock::now();
         const auto answer = fetchNow({{"127.16.0.3", listener.local_endpoint().port()}, "GET", "/", {}}, 30s);
