--- a/tests/discovery/reading_plan_test.cpp
+++ b/tests/discovery/reading_plan_test.cpp
@@ -3,6 +3,8 @@
 #include "tests/property.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <string>
 
 namespace sequoiawharf
@@ -16,9 +18,10 @@
 std::vector<instance_id> instances(std::size_t count)
 {
     std::vector<instance_id> all;
-    for (std::size_t i = 0; i < count; ++i) {
-        all.emplace_back("n" + std::to_string(i));
-    }
+    all.reserve(count);
+    std::ranges::transform(std::views::iota(std::size_t {0}, count), std::back_inserter(all), [](std::size_t i) {
+        return instance_id("n" + std::to_string(i));
+    });
     return all;
 }
 
