--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -93,7 +93,6 @@
     repeat_limits repeats;
     probing_settings probing;
     std::chrono::milliseconds leavingBound {3000}; ///< Time after which an endpoint that said that it leaves gets no new calls.
-
     bool isFirstStart = false; ///< All instances start for the first time, within a moment, and no calls come yet.
     std::chrono::milliseconds configurationBound {0}; ///< Time within which a new configuration must be in force everywhere; 0: as soon as can be.
 
@@ -103,10 +102,13 @@
     friend bool operator==(const instance_settings &, const instance_settings &) = default;
 };
 
+/// Copies those settings that may change while an instance runs: the level of the log, the seeds, and the limits of repeats. Touches no others.
+void copyChangeable(const instance_settings &from, instance_settings &to);
+
 /// What a changed settings file means for an instance that runs.
 struct settings_change {
     instance_settings next; ///< To run with from now on.
-    bool isInForce = false; ///< Something changes now: the level of the log, the seeds, or the limits of repeats.
+    bool isInForce = false; ///< Something changes now.
     bool waitsForStart = false; ///< Something else holds from the next start only.
 };
 
--- a/src/discovery/reading_plan.cpp
+++ b/src/discovery/reading_plan.cpp
@@ -30,8 +30,8 @@
         return rendezvousWeight(kReaderRole, id.str());
     };
     std::ranges::sort(others, std::ranges::greater {}, weightOf);
-    const auto rank = std::ranges::count_if(others, [&](const instance_id &other) {
-        return weightOf(other) > weightOf(self);
+    const auto rank = std::ranges::count_if(others, [&, own = weightOf(self)](const instance_id &other) {
+        return weightOf(other) > own;
     });
     const bool isSmall = others.size() < kSmallDataCentre;
     const std::size_t wanted = isStarting ? kStartReaders : 1;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -195,12 +195,17 @@
     return match == regions.end() ? region_id {} : match->first;
 }
 
+void copyChangeable(const instance_settings &from, instance_settings &to)
+{
+    to.logLevel = from.logLevel;
+    to.seeds = from.seeds;
+    to.repeats = from.repeats;
+}
+
 settings_change planChange(const instance_settings &running, const instance_settings &read)
 {
     settings_change change {.next = running};
-    change.next.logLevel = read.logLevel;
-    change.next.seeds = read.seeds;
-    change.next.repeats = read.repeats;
+    copyChangeable(read, change.next);
     change.isInForce = change.next != running;
     change.waitsForStart = change.next != read;
     return change;
--- a/src/shell/gateway/own_dialect.cpp
+++ b/src/shell/gateway/own_dialect.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/gateway/call_dialect.h"
 #include "src/shell/gateway/head_format.h"
 #include "src/shell/gateway/header_rules.h"
+#include "src/shell/net/http_status.h"
 
 #include <algorithm>
 
@@ -14,7 +15,6 @@
 constexpr std::string_view kLoadHeader = "endpoint-load-metrics";
 constexpr std::string_view kStateHeader = "Endpoint-State";
 constexpr std::string_view kLeavingState = "leaving";
-constexpr unsigned kOk = 200;
 
 std::string_view fieldOf(const call_dialect::fields &fields, std::string_view name)
 {
--- a/src/shell/gateway/refusal.cpp
+++ b/src/shell/gateway/refusal.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/gateway/refusal.h"
 
 #include "src/shell/gateway/call_dialect.h"
+#include "src/shell/net/http_status.h"
 
 namespace sequoiawharf
 {
@@ -9,10 +10,8 @@
 {
 
 constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
-constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
 std::string_view sentenceFor(call_reason reason)
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -164,14 +164,20 @@
     }
 }
 
+// Returns where an instance serves operators: all do at the same port.
+host_port control_plane::operatorsAt(const host_port &gateway) const
+{
+    return {gateway.host, m_settings.admin.port};
+}
+
 // Returns the other instances of the data centre with their operators' addresses: the live ones, and at the start those listed as well, since
-// hardly any is known to live then. All instances serve operators at the same port.
+// hardly any is known to live then.
 std::map<instance_id, host_port> control_plane::nearInstances(mono_time now)
 {
-    auto near = now < m_settledAt ? m_listedNear : std::map<instance_id, host_port> {};
+    auto near = !m_settledAt || now < *m_settledAt ? m_listedNear : std::map<instance_id, host_port> {};
     std::ranges::for_each(m_node.members().liveMembers(now), [&](const member_row &row) {
         if (row.id != m_settings.id) {
-            near.insert_or_assign(row.id, host_port {row.gateway.host, m_settings.admin.port});
+            near.insert_or_assign(row.id, operatorsAt(row.gateway));
         }
     });
     return near;
@@ -181,14 +187,14 @@
 void control_plane::followEndpoints(mono_time now)
 {
     const bool isStarting = !m_endpoints->isKnown();
-    if (isStarting && !m_isListAsked) {
+    if (isStarting && !m_settledAt) {
         return; // the first to be heard are few, and all would read
     }
     const auto near = nearInstances(now);
     std::vector<instance_id> ids;
     std::ranges::copy(near | std::views::keys, std::back_inserter(ids));
-    m_near = near.size();
-    if (!mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near)) {
+    m_mayLeaveConfiguration = mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, near.size());
+    if (!m_mayLeaveConfiguration) {
         m_feed->setFollowing(true);
     }
     const auto part = chooseReadingPart(m_settings.id, std::move(ids), isStarting);
@@ -201,7 +207,7 @@
 
 void control_plane::onConfigurationTold(const host_port &teller, const told_configuration &told)
 {
-    m_feed->setFollowing(!told.isFollowed || !mayLeaveConfiguration(m_readingTimes, m_settings.configurationBound, m_near));
+    m_feed->setFollowing(!told.isFollowed || !m_mayLeaveConfiguration);
     if (told.version > m_feed->current()->version) {
         m_node.configurationHeard({teller.host, m_settings.peer.port}, told.version);
     }
@@ -356,9 +362,7 @@
             logTo(log_level::Warning, kPart, "The list of instances cannot be read. error=\"{}\"", toString(listed.error()));
         }
         const auto now = monoNow();
-        if (!std::exchange(m_isListAsked, true)) {
-            m_settledAt = now + kMembersSettle;
-        }
+        m_settledAt = m_settledAt.value_or(now + kMembersSettle);
         followMembers(now);
         co_await pauseFor(listPause(listed.has_value(), reads));
     }
@@ -381,15 +385,14 @@
     const auto isOther = [this](const listed_instance &entry) {
         return entry.id != m_settings.id;
     };
-    std::ranges::transform(listed | std::views::filter(isOther), std::back_inserter(hints), toHint);
-    const auto count = static_cast<unsigned>(hints.size()) + 1;
-    m_node.setHints(std::move(hints));
-    std::ranges::for_each(listed | std::views::filter(isOther), [this](const listed_instance &entry) {
+    std::ranges::for_each(listed | std::views::filter(isOther), [&](const listed_instance &entry) {
+        hints.push_back(toHint(entry));
         if (entry.dataCentre == m_settings.dataCentre) {
-            m_listedNear.insert_or_assign(entry.id, host_port {entry.gateway.host, m_settings.admin.port});
+            m_listedNear.insert_or_assign(entry.id, operatorsAt(entry.gateway));
         }
     });
-    m_listed = std::max(m_listed, count);
+    m_listed = std::max(m_listed, static_cast<unsigned>(hints.size()) + 1);
+    m_node.setHints(std::move(hints));
 }
 
 void control_plane::record(event_kind kind, std::string subject, std::string detail)
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,7 @@
     void takeLeaving(const leaving_notice &notice);
     void publishRouting(mono_time now);
     std::shared_ptr<const configuration> withEndpoints() const;
+    host_port operatorsAt(const host_port &gateway) const;
     std::map<instance_id, host_port> nearInstances(mono_time now);
     void followEndpoints(mono_time now);
     locality place(mono_time now);
@@ -117,10 +119,9 @@
     std::shared_ptr<const configuration> m_config;
     std::map<pool_name, std::vector<endpoint>> m_discovered; ///< What the source of endpoints told last.
     std::map<instance_id, host_port> m_listedNear; ///< Other instances of the data centre that the list names, and their operators' addresses.
-    std::size_t m_near = 0; ///< Other instances of the data centre that may be asked.
     reading_times m_readingTimes;
-    bool m_isListAsked = false; ///< The list was read, or did not come.
-    mono_time m_settledAt = mono_time::max(); ///< Until then the listed instances count as live.
+    bool m_mayLeaveConfiguration = false; ///< Another instance of the data centre may follow the configuration for this one.
+    std::optional<mono_time> m_settledAt; ///< Until then the listed instances count as live; nothing: the list neither came nor failed yet.
     bool m_isListed = false; ///< The list named this instance, and so those that were there before it.
     unsigned m_listed = 0; ///< Most instances that the platform's list named; 0: it was never read.
     std::vector<instance_id> m_live; ///< Live instances of the data centre.
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiawharf
 {
@@ -96,15 +97,22 @@
 // Asks the instance that reads for the data centre, if it is another one. What this one knows it can only keep up to date so.
 asio::awaitable<bool> endpoint_feed::askReader()
 {
-    std::optional<told_configuration> told;
-    host_port reader;
-    if (!m_isReader && !m_others.empty() && m_isKnown) {
-        reader = m_others.front();
-        told = co_await askInstance(reader);
+    if (m_isReader || m_others.empty() || !m_isKnown) {
+        co_return false;
     }
-    if (told) {
+    const bool isAnswered = co_await askForAll(m_others.front());
+    if (isAnswered) {
         noteAnswer();
-        m_observer.onConfigurationTold(reader, *told);
+    }
+    co_return isAnswered;
+}
+
+// Asks another instance and passes on what it tells of the configuration.
+asio::awaitable<bool> endpoint_feed::askForAll(host_port other)
+{
+    const auto told = co_await askInstance(other);
+    if (told) {
+        m_observer.onConfigurationTold(other, *told);
     }
     co_return told.has_value();
 }
@@ -122,7 +130,8 @@
         const auto any = m_random.below(static_cast<std::uint32_t>(m_others.size()));
         const auto first = std::min<std::size_t>(i / 2 % 2, m_others.size() - 1);
         // Who follows configurations is left to the first question to the reader: most of those asked here do not.
-        if (const auto told = co_await askInstance(m_others[i % 2 == 0 ? first : any])) {
+        const auto told = co_await askInstance(m_others[i % 2 == 0 ? first : any]);
+        if (told) {
             co_return true;
         }
         co_await pauseFor(kAskAtStartPace);
@@ -137,12 +146,7 @@
         co_return false;
     }
     m_asked = (m_asked + 1) % m_others.size();
-    const auto other = m_others[m_asked];
-    const auto told = co_await askInstance(other);
-    if (told) {
-        m_observer.onConfigurationTold(other, *told);
-    }
-    co_return told.has_value();
+    co_return co_await askForAll(m_others[m_asked]);
 }
 
 // Asks another instance for what it knows and returns the configuration that it has; nothing: it does not answer, or what it knows is too old.
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> askAtStart();
     boost::asio::awaitable<bool> askReader();
+    boost::asio::awaitable<bool> askForAll(host_port other);
     boost::asio::awaitable<std::optional<told_configuration>> askInstance(host_port other);
     boost::asio::awaitable<bool> askAnother();
     boost::asio::awaitable<bool> readService();
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -291,7 +291,8 @@
     updateStop(now);
 }
 
-// Takes what may change in a running process from the settings file. A faulty file changes nothing. Only the control thread uses these settings.
+// Takes what may change in a running process from the settings file. A faulty file changes nothing. Other threads read the
+// settings meanwhile, but not those that change.
 void instance::implementation::rereadSettings()
 {
     if (!m_reread) {
@@ -310,9 +311,7 @@
     }
     m_onFile = std::move(*read);
     const auto change = planChange(m_settings, m_onFile);
-    m_settings.logLevel = change.next.logLevel;
-    m_settings.repeats = change.next.repeats;
-    m_settings.seeds = change.next.seeds;
+    copyChangeable(change.next, m_settings);
     setLogLevel(toLogLevel(m_settings.logLevel));
     m_plane.node().setSeeds(m_settings.seeds);
     logTo(log_level::Info, kInstancePart, "The settings file has changed. in_force={} waits_for_start={}", change.isInForce, change.waitsForStart);
--- a/src/shell/net/deflated.cpp
+++ b/src/shell/net/deflated.cpp
@@ -15,23 +15,35 @@
 constexpr std::size_t kPieceBytes = 64U << 10U;
 constexpr char kPadding = 0;
 
+zlib::z_params paramsOf(std::string_view input)
+{
+    zlib::z_params step;
+    step.next_in = input.data();
+    step.avail_in = input.size();
+    return step;
+}
+
+// Lets the stream add up to a piece to the output.
+template<typename stream_type> void addPiece(stream_type &stream, zlib::Flush flush, zlib::z_params &step, std::string &out, boost::system::error_code &error)
+{
+    const auto before = out.size();
+    out.resize(before + kPieceBytes);
+    step.next_out = out.data() + before;
+    step.avail_out = kPieceBytes;
+    stream.write(step, flush, error);
+    out.resize(before + kPieceBytes - step.avail_out);
+}
+
 } // namespace
 
 std::string deflated(std::string_view text)
 {
     zlib::deflate_stream stream;
     std::string out;
-    zlib::z_params step;
-    step.next_in = text.data();
-    step.avail_in = text.size();
+    auto step = paramsOf(text);
     boost::system::error_code error;
     while (error != zlib::error::end_of_stream) {
-        const auto before = out.size();
-        out.resize(before + kPieceBytes);
-        step.next_out = out.data() + before;
-        step.avail_out = kPieceBytes;
-        stream.write(step, zlib::Flush::finish, error);
-        out.resize(before + kPieceBytes - step.avail_out);
+        addPiece(stream, zlib::Flush::finish, step, out, error);
     }
     return out;
 }
@@ -40,19 +52,13 @@
 {
     zlib::inflate_stream stream;
     std::string out;
-    zlib::z_params step;
-    step.next_in = bytes.data();
-    step.avail_in = bytes.size();
+    auto step = paramsOf(bytes);
     boost::system::error_code error;
     bool isPadded = false;
     while (!error && out.size() <= maxTextBytes) {
         const auto before = out.size();
         const auto left = step.avail_in;
-        out.resize(before + kPieceBytes);
-        step.next_out = out.data() + before;
-        step.avail_out = kPieceBytes;
-        stream.write(step, zlib::Flush::sync, error);
-        out.resize(before + kPieceBytes - step.avail_out);
+        addPiece(stream, zlib::Flush::sync, step, out, error);
         const bool hasProgressed = out.size() > before || step.avail_in < left;
         if (!hasProgressed || (step.avail_in == 0 && isPadded)) {
             break; // nothing more comes of these bytes
--- a/src/shell/peer/peer_server.cpp
+++ b/src/shell/peer/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/peer/peer_server.h"
 
+#include "src/shell/net/http_status.h"
 #include "src/shell/net/log.h"
 #include "src/shell/net/page_server.h"
 #include "src/shell/peer/peer_stream.h"
@@ -28,7 +29,6 @@
 constexpr std::size_t kMaxControlBytes = 1U << 20U;
 constexpr std::chrono::seconds kControlTimeout {10};
 constexpr unsigned kTooLarge = 413;
-constexpr unsigned kNotFound = 404;
 
 /// Reads a control request; the error is the HTTP status of the refusal, 0 when the peer is gone.
 asio::awaitable<tl::expected<std::string, unsigned>> readWhole(peer_stream &stream, mono_time until)
