Let calls wait for an instance that starts, and tell readiness at once

Beside it, an instance told the others that it is ready only with its next round of heartbeats, up to 0.6 s later, so that directories named nobody or a few. Change: a call that arrives within 2 s of the start, or of the loss of readiness, waits for it, for at most half of its caller's timeout; an instance that is unready for longer refuses at once as before. A change of readiness starts a round of heartbeats.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -66,7 +66,10 @@
     m_state->ownLinksDue = m_state->ownLinksDue || version != self.version;
     self.version = version;
     self.load = load;
-    self.ready = ready && !self.leaving;
+    const bool isReady = ready && !self.leaving;
+    if (std::exchange(self.ready, isReady) != isReady) {
+        m_state->roundDue = {}; // others list this instance in their directories by its readiness
+    }
 }
 
 void membership::setLinkUse(std::uint8_t percent)
--- a/src/shell/gateway/call_engine.h
+++ b/src/shell/gateway/call_engine.h
@@ -6,6 +6,7 @@
 #include "src/shell/gateway/admission_gate.h"
 #include "src/shell/gateway/connection_pool.h"
 #include "src/shell/gateway/slot_queue.h"
+#include "src/shell/peer/async_signal.h"
 
 namespace sequoiawharf
 {
@@ -52,6 +53,11 @@
     {
         return m_probes;
     }
+    /// Returns the signal that is notified after gateway_shared::ready has changed.
+    async_signal &readinessChanged()
+    {
+        return m_readinessChanged;
+    }
     /// Returns the client that relays calls to other regions, or null.
     relay_client *relay()
     {
@@ -69,6 +75,7 @@
     admission_gate m_gate;
     slot_queue m_slotQueue;
     probe_budget m_probes;
+    async_signal m_readinessChanged;
     relay_client *m_relay;
     random_source m_random;
 };
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -1,11 +1,13 @@
 #include "src/shell/gateway/call_run.h"
 
 #include "sequoiawharf/event.h"
+#include "sequoiawharf/readiness_wait.h"
 #include "sequoiawharf/routing.h"
 #include "src/shell/gateway/call_engine.h"
 #include "src/shell/gateway/gateway_shared.h"
 #include "src/shell/gateway/probe_round.h"
 #include "src/shell/metrics/gateway_metrics.h"
+#include "src/shell/net/clock.h"
 #include "src/shell/net/log.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -52,12 +54,8 @@
 
 asio::awaitable<void> call_run::run()
 {
-    const auto ready = m_engine.shared().ready.load();
-    if (!ready->isReady) {
-        auto response = makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NotReady);
-        response.sentence = fmt::format("this instance is not ready: {}", ready->reason);
-        response.retryAfter = kNotReadyRetryAfter;
-        co_return co_await refuse(std::move(response));
+    if (auto response = co_await waitUntilReady()) {
+        co_return co_await refuse(std::move(*response));
     }
     if (auto response = findRoute()) {
         co_return co_await refuse(std::move(*response));
@@ -88,6 +86,33 @@
     }
 }
 
+// Waits until the instance is ready. Returns a refusal when it does not become ready in time or the caller disconnects.
+asio::awaitable<std::optional<refusal>> call_run::waitUntilReady()
+{
+    auto ready = m_engine.shared().ready.load();
+    if (ready->isReady) {
+        co_return std::nullopt;
+    }
+    const auto waitEnd = readinessWaitEnd(ready->unreadySince, m_head.received, m_head.callerTimeout);
+    m_answer.onReceiverGone([this] {
+        m_engine.readinessChanged().notify();
+    });
+    while (!ready->isReady && !m_answer.isReceiverGone() && monoNow() < waitEnd) {
+        co_await m_engine.readinessChanged().wait(waitEnd);
+        ready = m_engine.shared().ready.load();
+    }
+    if (m_answer.isReceiverGone()) {
+        co_return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::CallerGone);
+    }
+    if (ready->isReady) {
+        co_return std::nullopt;
+    }
+    auto response = makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NotReady);
+    response.sentence = fmt::format("this instance is not ready: {}", ready->reason);
+    response.retryAfter = kNotReadyRetryAfter;
+    co_return response;
+}
+
 // Returns whether endpoints of the pool are chosen by probing. Precondition: m_balancer is set.
 bool call_run::isProbing() const
 {
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -36,6 +36,7 @@
 
 private:
     // Before the first attempt.
+    boost::asio::awaitable<std::optional<refusal>> waitUntilReady();
     std::optional<refusal> findRoute();
     boost::asio::awaitable<std::optional<refusal>> holdBody();
     std::optional<refusal> bodyRefusal() const;
--- a/src/shell/gateway/gateway.cpp
+++ b/src/shell/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "src/shell/gateway/gateway_shared.h"
 #include "src/shell/gateway/gateway_thread.h"
 #include "src/shell/metrics/gateway_metrics.h"
+#include "src/shell/net/clock.h"
 #include "src/shell/net/log.h"
 
 #include <algorithm>
@@ -29,9 +30,9 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-rcu_snapshot<readiness>::pointer makeReadiness(bool isReady, std::string_view why)
+rcu_snapshot<readiness>::pointer makeReadiness(bool isReady, std::string_view why, mono_time unreadySince)
 {
-    return std::make_shared<const readiness>(readiness {isReady, std::string(why)});
+    return std::make_shared<const readiness>(readiness {isReady, std::string(why), unreadySince});
 }
 
 } // namespace
@@ -44,7 +45,7 @@
                  gateway_metrics &metrics,
                  const call_dialect &dialect)
     : m_shared(std::unique_ptr<gateway_shared>(new gateway_shared {
-          settings, routings, entries, std::move(relays), events, metrics, dialect, rcu_snapshot<readiness>(makeReadiness(false, "it is starting")), {}}))
+          settings, routings, entries, std::move(relays), events, metrics, dialect, rcu_snapshot<readiness>(makeReadiness(false, "it is starting", monoNow())), {}}))
 {
     m_shared->wake = [this](unsigned thread, const balancer_ptr &pool) {
         m_threads[thread]->wake(pool);
@@ -81,7 +82,9 @@
 
 void gateway::setReady(bool ready, std::string_view why)
 {
-    m_shared->ready.store(makeReadiness(ready, why));
+    const auto previous = m_shared->ready.load();
+    m_shared->ready.store(makeReadiness(ready, why, previous->isReady ? monoNow() : previous->unreadySince));
+    std::ranges::for_each(m_threads, &gateway_thread::readinessChanged);
 }
 
 void gateway::beginStop()
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -50,7 +50,8 @@
     /// Returns the address that the gateway listens on. Precondition: start() succeeded.
     host_port address() const;
 
-    /// Sets whether calls are accepted. While not ready, each call is refused as not run and the answer states why. Initially not ready. Thread safe.
+    /// Sets whether calls are accepted. While not ready, a call waits as long as readinessWaitEnd() allows and is then refused as not run; the answer
+    /// states why. Initially not ready. Calls of this method must not overlap; otherwise thread safe.
     void setReady(bool ready, std::string_view why);
 
     /// Makes every answer close its connection from now on, so that callers reconnect to other instances. New connections and calls are still
--- a/src/shell/gateway/gateway_shared.h
+++ b/src/shell/gateway/gateway_shared.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/settings.h"
+#include "sequoiawharf/time.h"
 #include "src/base/rcu_snapshot.h"
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/admission_gate.h"
@@ -23,6 +24,7 @@
 struct readiness {
     bool isReady = false;
     std::string reason; ///< Why calls are not accepted.
+    mono_time unreadySince {}; ///< When the instance started or became unready. Meaningless while it is ready.
 };
 
 /// The data shared by the threads of one gateway. Thread safe: each member is read-only, atomic or a snapshot.
--- a/src/shell/gateway/gateway_thread.cpp
+++ b/src/shell/gateway/gateway_thread.cpp
@@ -90,6 +90,13 @@
     });
 }
 
+void gateway_thread::readinessChanged()
+{
+    asio::post(m_context, [this] {
+        m_engine.readinessChanged().notify();
+    });
+}
+
 void gateway_thread::closeListener()
 {
     asio::post(m_context, [this] {
--- a/src/shell/gateway/gateway_thread.h
+++ b/src/shell/gateway/gateway_thread.h
@@ -44,6 +44,9 @@
     /// Admits queued calls of the pool as far as slots are free. Thread safe.
     void wake(const balancer_ptr &pool);
 
+    /// Wakes the calls that wait for the instance to become ready. Thread safe.
+    void readinessChanged();
+
     /// Stops accepting connections. Thread safe.
     void closeListener();
 
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -128,7 +128,11 @@
 
 void peer_node::setStatus(std::uint8_t load, bool ready)
 {
+    const bool wasReady = m_members.self().ready;
     m_members.setSelf(m_parts.configuration->current()->version, load, ready);
+    if (m_members.self().ready != wasReady) {
+        m_wake.notify();
+    }
 }
 
 void peer_node::setPoolTotals(std::vector<pool_totals> facts)
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(newerIncarnationReplacesTheOlder);
     CPPUNIT_TEST(loneInstanceBecomesReady);
     CPPUNIT_TEST(restartedFleetFindsTogetherAtOnce);
+    CPPUNIT_TEST(restartedLargeDataCentreNamesReadyInstancesSoon);
     CPPUNIT_TEST(restartedInstanceDoesNotNameItselfAlone);
     CPPUNIT_TEST(regionsReconnectAfterAnHourApart);
     CPPUNIT_TEST(survivesLossOfHalfAndReplacementOfAll);
@@ -266,6 +267,28 @@
         }));
     }
 
+    // After a power loss of the whole fleet callers look up where to connect. A directory with few entries sends all of them to the same instances.
+    void restartedLargeDataCentreNamesReadyInstancesSoon()
+    {
+        fleet all(7);
+        for (unsigned i = 0; i < 40; ++i) {
+            all.add("n" + std::to_string(i), kCentres.front());
+        }
+        all.run(150ms);
+        all.publishHints();
+        const auto fewestEntries = [&] {
+            std::vector<std::size_t> counts;
+            std::ranges::transform(all.live(), std::back_inserter(counts), [&](const fleet_instance *instance) {
+                return makeDirectoryView(*instance->members, {.lifetime = 10s}, all.now())->entries.size();
+            });
+            return std::ranges::min(counts);
+        };
+        all.run(300ms);
+        CPPUNIT_ASSERT_GREATER(std::size_t {2}, fewestEntries());
+        all.run(500ms);
+        CPPUNIT_ASSERT_GREATER(std::size_t {9}, fewestEntries());
+    }
+
     void restartedInstanceDoesNotNameItselfAlone()
     {
         fleet all(6);
