Let the members of a large data centre find each other within three seconds

Cause: on the first start of the large deployment 94 instances took up polling the store for configurations 3 s after their list, each twice. From then on only members that were heard count, and instances knew some 20 of 39 to 44 others, so that they asked different readers, who did not follow the configuration. The exchange of rows had used up the budget of control bytes (20,000 a second): in a data centre of 45 the regular heartbeats alone come close to it, and rows wait until 5 s after the start. Ruled out by trials in the model of the fleet: more rows a message (32, 64: 26 of 45 known after 3 s), fewer beats a message (24: 32, 16: 43). Change: an instance may use 40,000 bytes once, besides the rate, when it starts. The sustained rate is as before. Tests: restartedLargeDataCentreKnowsItsMembersInThreeSeconds (27 of 45 before), additionalBytesAreAdmittedOnce. Open: 108 instances still poll once in the first three seconds, before an instance that follows answers them.

--- a/include/sequoiawharf/control_budget.h
+++ b/include/sequoiawharf/control_budget.h
@@ -19,13 +19,16 @@
 };
 
 /// Limits the bytes of control traffic that one instance sends and receives, and counts them by kind. In any window of t seconds at most
-/// rate * (t + 1) bytes are admitted, control_kind::State excluded. Not thread safe.
+/// rate * (t + 1) bytes are admitted, control_kind::State and what addOnce() allows excluded. Not thread safe.
 class control_budget
 {
 public:
     /// bytesPerSecond: limit of all control traffic. linkBytesPerSecond: limit of the part between regions.
     control_budget(std::uint64_t bytesPerSecond, std::uint64_t linkBytesPerSecond, mono_time now);
 
+    /// Allows the bytes once, in addition to the limit of all control traffic.
+    void addOnce(std::uint64_t bytes);
+
     /// Counts a message without limiting it.
     void count(control_kind kind, std::uint64_t bytes);
 
--- a/src/membership/control_budget.cpp
+++ b/src/membership/control_budget.cpp
@@ -18,12 +18,17 @@
     m_refilled = std::max(now, m_refilled);
     const auto fill = [&](bucket &tokenBucket) {
         const auto rate = static_cast<double>(tokenBucket.rate);
-        tokenBucket.tokens = std::min(rate, tokenBucket.tokens + rate * seconds);
+        tokenBucket.tokens = std::max(tokenBucket.tokens, std::min(rate, tokenBucket.tokens + rate * seconds));
     };
     fill(m_all);
     fill(m_link);
 }
 
+void control_budget::addOnce(std::uint64_t bytes)
+{
+    m_all.tokens += static_cast<double>(bytes);
+}
+
 std::uint64_t control_budget::available(control_kind kind, mono_time now)
 {
     refill(now);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned kGossipSends = 6; ///< Messages that carry one summary.
 constexpr unsigned kLeavingSends = 12; ///< Messages that carry one leaving notice.
 
+/// Added to the budget at a start, when the rows of all members of the data centre are exchanged besides the regular heartbeats.
+constexpr std::uint64_t kStartBytes = 40'000;
+
 /// If no reply arrives within this time after the start or a pause, the instance counts as alone.
 constexpr std::chrono::seconds kAloneTimeout {3};
 
@@ -34,6 +37,7 @@
     , lastTick(now)
     , unconfirmedSince(now)
 {
+    budget.addOnce(kStartBytes);
 }
 
 control_kind membership::state::kindOf(const member_row &other) const
--- a/tests/gateway/start_test.cpp
+++ b/tests/gateway/start_test.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-
 namespace sequoiawharf
 {
 
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(loneInstanceBecomesReady);
     CPPUNIT_TEST(restartedFleetFindsTogetherAtOnce);
     CPPUNIT_TEST(restartedLargeDataCentreNamesReadyInstancesSoon);
+    CPPUNIT_TEST(restartedLargeDataCentreKnowsItsMembersInThreeSeconds);
     CPPUNIT_TEST(restartedInstanceDoesNotNameItselfAlone);
     CPPUNIT_TEST(regionsReconnectAfterAnHourApart);
     CPPUNIT_TEST(survivesLossOfHalfAndReplacementOfAll);
@@ -289,6 +290,20 @@
         CPPUNIT_ASSERT_GREATER(std::size_t {9}, fewestEntries());
     }
 
+    // After three seconds the instances choose their reader among the members that they know. Those that know few of them choose different ones.
+    void restartedLargeDataCentreKnowsItsMembersInThreeSeconds()
+    {
+        fleet all(8);
+        for (unsigned i = 0; i < 45; ++i) {
+            all.add("n" + std::to_string(i), kCentres.front());
+        }
+        all.publishHints();
+        all.run(3s);
+        std::ranges::for_each(all.live(), [&](const fleet_instance *instance) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t {45}, instance->members->liveMembers(all.now()).size());
+        });
+    }
+
     void restartedInstanceDoesNotNameItselfAlone()
     {
         fleet all(6);
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(nearEntriesComeFirst);
     CPPUNIT_TEST(loadedEntriesAreChosenLessOften);
     CPPUNIT_TEST(budgetBoundsAnyWindow);
+    CPPUNIT_TEST(additionalBytesAreAdmittedOnce);
     CPPUNIT_TEST(followerAsksNearestFirst);
     CPPUNIT_TEST(followerTriesAnotherAfterFailure);
     CPPUNIT_TEST(noticesAreNewOnceAndExpire);
@@ -122,6 +123,14 @@
         CPPUNIT_ASSERT(first["idle"] > 5 * first["busy"] && first["busy"] > 0);
     }
 
+    void additionalBytesAreAdmittedOnce()
+    {
+        control_budget budget(20'000, 4'000, kNow);
+        budget.addOnce(30'000);
+        CPPUNIT_ASSERT(budget.admit(control_kind::DataCentre, 40'000, kNow + 1s) && !budget.admit(control_kind::DataCentre, 20'000, kNow + 1s));
+        CPPUNIT_ASSERT(budget.admit(control_kind::DataCentre, 20'000, kNow + 60s) && !budget.admit(control_kind::DataCentre, 1'000, kNow + 60s));
+    }
+
     void budgetBoundsAnyWindow()
     {
         testing::checkProperty("admitted bytes stay within the rate in any window", [] {
