Cut off answers that never end where nothing bounded them

Cause: bytes that are no answer may come without end. Tests with such targets showed three places without a bound of their own: interim answers (read until the call's deadline), empty lines before an answer (the same; a probe took 227 MB until its timeout), and answers of the store (read up to 256 MB on machines of 160 MB: 272 MB taken). Ruled out by the same tests: status lines, single and many header fields, chunk sizes, extensions and trailers, bytes beyond a body, bodies without end, single bytes for ever: bounded by limits.header_bytes or the call's deadline, never complete, the connection closed. Left: the log line of such a call says bad-answer, not which bound was hit; memory with 500 such targets was not measured.

--- a/src/shell/gateway/probe_round.cpp
+++ b/src/shell/gateway/probe_round.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds kProbeTimeout {400};
 constexpr std::size_t kMaxProbeHeadBytes = 8192;
 constexpr std::size_t kProbeReadBytes = 1024;
+constexpr std::size_t kMaxProbeBodyBytes = 16384; // a health page is short
 
 } // namespace
 
@@ -124,11 +125,13 @@
     }
     std::array<char, kProbeReadBytes> ignored {};
     message_awaitable<std::size_t>::value_type count = std::size_t {1};
-    while (count && *count > 0) {
+    std::size_t bodyBytes = 0;
+    while (count && *count > 0 && bodyBytes <= kMaxProbeBodyBytes) {
         count = co_await reader.readBody(parser, ignored);
+        bodyBytes += count.value_or(0);
     }
     current.connection = nullptr;
-    if (!count || connection.buffer.size() > 0) {
+    if (!count || *count > 0 || connection.buffer.size() > 0) {
         co_return std::nullopt;
     }
     if (!parser.get().keep_alive()) {
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -29,6 +29,7 @@
 
 constexpr std::size_t kUploadBufferBytes = 64U << 10U;
 constexpr std::size_t kReservedHeadBytes = 1024; // enough for most request heads
+constexpr unsigned kMaxInterimAnswers = 16; // of one call; a target that sends more may never send the final one
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -213,7 +214,11 @@
 
 asio::awaitable<bool> target_exchange::readHead()
 {
+    unsigned interimAnswers = 0;
     do {
+        if (interimAnswers++ > kMaxInterimAnswers) {
+            co_return fail(attempt_end::BadAnswer);
+        }
         m_parser.emplace();
         m_parser->skip(m_terms.head.method == "HEAD");
         const auto size = co_await m_reader->readHeader(*m_parser);
--- a/src/shell/net/deflated.cpp
+++ b/src/shell/net/deflated.cpp
@@ -16,7 +16,7 @@
 constexpr char kPadding = 0;
 constexpr std::size_t kMaxPlainBytes = 4096; // longer texts are compressed
 constexpr char kCompressedPrefix = 'z'; // first byte of a compressed text; JSON begins with a brace or a bracket
-constexpr std::size_t kMaxTextBytes = 64U << 20U;
+constexpr std::size_t kMaxTextBytes = 16U << 20U;
 
 zlib::z_params paramsOf(std::string_view input)
 {
--- a/src/shell/net/message_reader.cpp
+++ b/src/shell/net/message_reader.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kBodyReadBytes = 64U << 10U;
 constexpr std::size_t kIdleBufferBytes = 8192; // largest buffer that an idle connection keeps
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+constexpr unsigned kMaxEmptyLines = 4; // before a message; some old clients send one after a body
 constexpr std::string_view kLineEnd = "\r\n";
 
 std::string_view viewOf(const boost::beast::flat_buffer &buffer)
@@ -103,8 +104,12 @@
 message_awaitable<std::size_t> message_reader::fillHeader()
 {
     std::size_t scanned = 0;
+    unsigned emptyLines = 0;
     while (true) {
         while (scanned == 0 && viewOf(m_buffer).starts_with(kLineEnd)) {
+            if (++emptyLines > kMaxEmptyLines) {
+                co_return malformed("empty lines precede the message");
+            }
             m_buffer.consume(kLineEnd.size());
         }
         const auto text = viewOf(m_buffer);
