--- a/tests/gateway/endless_test.cpp
+++ b/tests/gateway/endless_test.cpp
@@ -151,7 +151,7 @@
             });
             gateway_rig rig({&target});
             rig.settings.probing.count = 1;
-            rig.targetPool.probePath = "/healthz";
+            rig.targetPool.probePath = "/load";
             rig.start();
             test_caller caller(rig.address());
             const auto received = caller.call("GET", "/short");
