--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -41,7 +41,7 @@
 constexpr milliseconds kStartupAskTimeout {1500};
 constexpr milliseconds kStartupAskInterval {100};
 
-constexpr std::uint64_t kMaxPageBytes = 16U << 20U; // 100 times the page of 600 endpoints; a longer one is damaged
+constexpr std::uint64_t kMaxEndpointPageBytes = 16U << 20U; // 100 times the page of 600 endpoints; a longer one is damaged
 
 } // namespace
 
@@ -172,7 +172,7 @@
     http_request request;
     request.server = std::move(other);
     request.path = endpointPagePath(isFullRead ? 0 : *m_next);
-    request.maxAnswerBytes = kMaxPageBytes;
+    request.maxAnswerBytes = kMaxEndpointPageBytes;
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
     if (!answer || answer->status != kOk) {
         co_return std::nullopt;
--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -92,12 +92,13 @@
 std::optional<endpoint_page> parseEndpointPage(std::string_view text)
 {
     const auto lineEnd = std::min(text.find('\n'), text.size());
+    const auto headText = text.substr(0, lineEnd);
     const auto rows = unpackedJson(text.substr(std::min(lineEnd + 1, text.size())));
     if (!rows) {
         return std::nullopt;
     }
     try {
-        const auto head = json::parse(json::string_view(text.data(), lineEnd));
+        const auto head = json::parse(json::string_view(headText.data(), headText.size()));
         const auto records = json::parse(*rows);
         const auto &object = head.as_object();
         endpoint_page page;
