--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -54,8 +54,10 @@
 
 asio::awaitable<void> call_run::run()
 {
-    if (auto response = co_await waitUntilReady()) {
-        co_return co_await refuse(std::move(*response));
+    if (!m_engine.shared().ready.load()->isReady) {
+        if (auto response = co_await waitUntilReady()) {
+            co_return co_await refuse(std::move(*response));
+        }
     }
     if (auto response = findRoute()) {
         co_return co_await refuse(std::move(*response));
@@ -90,9 +92,6 @@
 asio::awaitable<std::optional<refusal>> call_run::waitUntilReady()
 {
     auto ready = m_engine.shared().ready.load();
-    if (ready->isReady) {
-        co_return std::nullopt;
-    }
     const auto waitEnd = readinessWaitEnd(ready->unreadySince, m_head.received, m_head.callerTimeout);
     m_answer.onReceiverGone([this] {
         m_engine.readinessChanged().notify();
