--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -31,6 +31,9 @@
     std::uint64_t failedReads = 0;
     std::uint64_t stateRecords = 0;
     std::uint64_t stateRecordBytes = 0;
+    std::uint64_t readBytes = 0; ///< Of configurations read from the service.
+    std::uint64_t peerBytes = 0; ///< Of configurations that peers passed on.
+    std::uint64_t announcements = 0; ///< Newer versions that a peer announced without passing them on.
 };
 
 /// Source of the configuration in force. Its version never decreases. The observer outlives the source. All methods run on the control thread.
--- a/src/shell/instance/control_metrics.cpp
+++ b/src/shell/instance/control_metrics.cpp
@@ -28,6 +28,14 @@
     text.single("sequoiawharf_log_read_failures_total", "counter", "Reads of the platform's log that gave no answer.", feed.counters().failedReads);
     text.single("sequoiawharf_state_records_total", "counter", "State records written to the log.", feed.counters().stateRecords);
     text.single("sequoiawharf_state_record_bytes_total", "counter", "Bytes of state records written to the log.", feed.counters().stateRecordBytes);
+    const auto &counters = feed.counters();
+    text.begin("sequoiawharf_configuration_bytes_total", "counter", "Bytes of configurations received, by where they came from.");
+    text.line("sequoiawharf_configuration_bytes_total{{from=\"service\"}} {}\n", counters.readBytes);
+    text.line("sequoiawharf_configuration_bytes_total{{from=\"peer\"}} {}\n", counters.peerBytes);
+    text.single("sequoiawharf_configuration_announcements_total",
+                "counter",
+                "Newer versions that another instance announced without passing them on.",
+                counters.announcements);
 }
 
 void addControlBytes(metrics_text &text, const control_budget &budget)
