--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -57,6 +57,10 @@
     /// Applies changes that a peer passed on. Returns whether a newer configuration is in force now.
     virtual bool applyPeer(const change_set &changes) = 0;
 
+    /// Records that a peer which follows the service has read all records before an offset, and that these hold no version above the given one. A source
+    /// that has this version starts its next read at the offset.
+    virtual void recordPosition(config_version version, log_offset next) = 0;
+
     /// Restarts the calls to the service that still wait for an answer. Called when the service is back after an outage, since it may have lost
     /// these calls.
     virtual void reconnect() = 0;
@@ -78,7 +82,7 @@
     /// Returns the changes that an instance at the given version lacks.
     virtual change_set changesSince(config_version version) const = 0;
 
-    /// Returns the offset of the last record of the log that was accepted or refused.
+    /// Returns the offset up to which this source has read the service's records; 0: nothing.
     virtual log_offset asOf() const = 0;
 
     /// Returns the state in force as the text of a state record, or nothing while the state is not known.
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -213,6 +213,9 @@
 void control_plane::onPeerConfiguration(const host_port &teller, const peer_configuration &told)
 {
     m_feed->setFollowing(!told.isFollowed || !m_mayUseReaderForConfiguration);
+    if (told.isFollowed && told.next > 0) {
+        m_feed->recordPosition(told.version, told.next);
+    }
     if (told.version > m_feed->current()->version) {
         m_node.recordPeerVersion({teller.host, m_settings.peer.port}, told.version);
     }
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -72,7 +72,7 @@
     /// endpoints.
     std::string endpointPage(log_offset from, mono_time now)
     {
-        const peer_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing()};
+        const peer_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf()};
         return m_endpoints ? m_endpoints->page(from, configuration, now) : std::string {};
     }
     /// Waits until the endpoints are known, but not longer than until the given time. Returns at once when the pool table names the endpoints.
--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -85,6 +85,7 @@
         {"age_ms", page.age.count()},
         {"version", page.configuration.version},
         {"is_followed", page.configuration.isFollowed},
+        {"config_next", page.configuration.next},
     };
     return fmt::format("{}\n{}", json::serialize(head), records);
 }
@@ -107,6 +108,9 @@
         page.age = std::chrono::milliseconds(object.at("age_ms").to_number<std::int64_t>());
         page.configuration.version = object.at("version").to_number<config_version>();
         page.configuration.isFollowed = object.at("is_followed").as_bool();
+        // Instances of earlier builds do not tell it.
+        const auto *const next = object.if_contains("config_next");
+        page.configuration.next = next == nullptr ? 0 : next->to_number<log_offset>();
         std::ranges::transform(records.as_array(), std::back_inserter(page.changes.records), toRecord);
         return page;
     } catch (const std::exception &) {
--- a/src/shell/instance/endpoint_page.h
+++ b/src/shell/instance/endpoint_page.h
@@ -15,6 +15,7 @@
 struct peer_configuration {
     config_version version = 0;
     bool isFollowed = false; ///< The answering instance follows configurations itself.
+    log_offset next = 0; ///< Where the instance's next read of configurations starts; 0: not known.
 
     friend bool operator==(const peer_configuration &, const peer_configuration &) = default;
 };
--- a/src/shell/platform/config_feed.cpp
+++ b/src/shell/platform/config_feed.cpp
@@ -73,6 +73,11 @@
     return newer;
 }
 
+// Every reader of the log judges all of its records.
+void config_feed::recordPosition(config_version /*version*/, log_offset /*next*/)
+{
+}
+
 void config_feed::resetReadiness()
 {
     ++m_newestCheck;
--- a/src/shell/platform/config_feed.h
+++ b/src/shell/platform/config_feed.h
@@ -65,6 +65,7 @@
     bool isNewest() const override;
 
     std::shared_ptr<const configuration> current() const override;
+    void recordPosition(config_version version, log_offset next) override;
     change_set changesSince(config_version version) const override;
     log_offset asOf() const override;
     std::optional<std::string> stateText() const override;
--- a/tests/instance/endpoint_page_test.cpp
+++ b/tests/instance/endpoint_page_test.cpp
@@ -11,7 +11,7 @@
 
 endpoint_page pageOf(std::size_t endpoints)
 {
-    endpoint_page page {.changes = {.records = {}, .next = 900, .isSnapshot = true}, .age = std::chrono::milliseconds(40), .configuration = {7, true}};
+    endpoint_page page {.changes = {.records = {}, .next = 900, .isSnapshot = true}, .age = std::chrono::milliseconds(40), .configuration = {7, true, 12}};
     for (std::size_t i = 0; i < endpoints; ++i) {
         endpoint_entry entry {.identity = fmt::format("i-{:08x}", i * 2'654'435'761U),
                               .incarnation = 1'788'244'353'740 + i,
