Space the transfers of configurations, and ask different instances for them

Cause: thirty instances request a change of 25 KB from the one that reads for them, within a second and over its link of 10 Mbit/s.

Change: transfer_schedule spaces the answers at two thirds of that link and refuses what would wait longer than 400 ms; config_follower chooses among equally good sources at random, and keeps the only one that it knows after a failure.

Ruled out: the reader's processor (0.02 cores at most).

--- a/include/sequoiawharf/config_follower.h
+++ b/include/sequoiawharf/config_follower.h
@@ -34,7 +34,7 @@
     /// 1 s for an instance of another region.
     std::optional<change_query> next(config_version own, mono_time now);
 
-    /// Ends a pending query. failed: no answer will arrive; the next query is then delayed by 250 ms.
+    /// Ends a pending query. failed: no answer will arrive; the next query is then delayed by 250 ms, and goes to another instance if one is known.
     void finishQuery(const change_query &query, bool failed, mono_time now);
 
     /// Returns whether another instance is known to have a newer version than own.
@@ -46,6 +46,7 @@
         nearness distance = nearness::DataCentre;
         config_version version = 0;
         mono_time due; ///< Earliest time of a query to it.
+        std::uint32_t order = 0; ///< Random, so that of equally good sources each instance queries another one.
     };
 
     std::vector<source> m_sources;
--- a/src/membership/config_follower.cpp
+++ b/src/membership/config_follower.cpp
@@ -1,6 +1,7 @@
 #include "sequoiawharf/config_follower.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace sequoiawharf
 {
@@ -14,6 +15,7 @@
 constexpr milliseconds kQueryTimeout {500};
 constexpr milliseconds kFarQueryTimeout {1000};
 constexpr milliseconds kRetryDelay {250};
+constexpr std::uint32_t kOrders = 1U << 16U;
 
 /// Returns a random delay, so that the instances don't all send queries at once and a change that is already being sent arrives first.
 milliseconds delayFor(nearness distance, random_source &random)
@@ -40,7 +42,7 @@
     if (known != m_sources.end() && known->version >= version) {
         return;
     }
-    const source fresh {peer, distance, version, now + delayFor(distance, random)};
+    const source fresh {.peer = peer, .distance = distance, .version = version, .due = now + delayFor(distance, random), .order = random.below(kOrders)};
     if (known != m_sources.end()) {
         *known = fresh;
         return;
@@ -61,8 +63,10 @@
     }
     const source *best = nullptr;
     std::ranges::for_each(m_sources, [&](const source &known) {
-        const bool isBetter = best == nullptr || known.distance < best->distance || (known.distance == best->distance && known.version > best->version);
-        if (now >= known.due && isBetter) {
+        const auto rankOf = [](const source &one) {
+            return std::tuple(one.distance, ~one.version, one.order);
+        };
+        if (now >= known.due && (best == nullptr || rankOf(known) < rankOf(*best))) {
             best = &known;
         }
     });
@@ -76,9 +80,12 @@
 void config_follower::finishQuery(const change_query &query, bool failed, mono_time now)
 {
     m_nextQueryAt = failed ? std::optional(now + kRetryDelay) : std::nullopt;
-    std::erase_if(m_sources, [&](const source &known) {
-        return known.peer == query.to;
-    });
+    // The only source is kept after a failure: it may have been busy, and may not be heard of again for a second.
+    if (!failed || m_sources.size() > 1) {
+        std::erase_if(m_sources, [&](const source &known) {
+            return known.peer == query.to;
+        });
+    }
 }
 
 bool config_follower::isBehind(config_version own) const
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/peer/peer_node.h"
 
 #include "src/shell/net/log.h"
+#include "src/shell/net/pause.h"
 #include "src/wire/codec.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds kChangesTimeout {10'000};
 constexpr std::uint64_t kControlBytesPerSecond = 20'000;
 constexpr std::size_t kMaxPushBytes = 16U << 10U; ///< Instances that lack a larger change request it themselves.
+constexpr std::uint64_t kTransferBytesPerSecond = 800'000; ///< Two thirds of a link of 10 Mbit/s.
+constexpr std::chrono::milliseconds kMaxTransferWait {400}; ///< Shorter than the time after which the other instance asks elsewhere.
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooManyRequests = 429;
 
@@ -93,6 +96,7 @@
     , m_parts(std::move(parts))
     , m_random(m_parts.seed)
     , m_members(toMembershipSettings(m_parts), clock::now())
+    , m_transfers(kTransferBytesPerSecond, kMaxTransferWait)
     , m_link(m_parts.settings.link.bytesPerSecond)
     , m_share(m_parts.settings.link.bytesPerSecond, m_parts.settings.link.controlBytesPerSecond)
     , m_traffic(std::make_shared<peer_traffic>())
@@ -333,7 +337,7 @@
         co_return answerHeartbeat(*heartbeat);
     }
     if (const auto *const wanted = std::get_if<change_request>(&*message)) {
-        co_return answerChangeRequest(*wanted);
+        co_return co_await answerChangeRequest(wanted->since);
     }
     co_return acceptPushedChanges(std::get<change_set>(*message));
 }
@@ -349,13 +353,22 @@
     return encode(*reply);
 }
 
-tl::expected<std::string, unsigned> peer_node::answerChangeRequest(const change_request &request)
+// Many instances request a change at the same time. Spacing the answers keeps the heartbeats and the answers to other questions prompt; an
+// instance that is refused asks another one, which may have the change by then.
+asio::awaitable<tl::expected<std::string, unsigned>> peer_node::answerChangeRequest(config_version since)
 {
-    const auto changes = m_parts.configuration->changesSince(request.since);
+    const auto changes = m_parts.configuration->changesSince(since);
     auto body = encode(changes);
-    // Counted but not limited: an instance that got no answer would read more from the service.
+    const auto wait = m_transfers.reserve(body.size(), clock::now());
+    if (!wait) {
+        co_return tl::unexpected(kTooManyRequests);
+    }
+    if (wait->count() > 0) {
+        co_await pauseFor(*wait);
+    }
+    // The budget counts this but does not limit it: an instance that got no change would read more from the service.
     m_members.budget().count(changes.state.empty() ? control_kind::Configuration : control_kind::State, body.size());
-    return body;
+    co_return body;
 }
 
 tl::expected<std::string, unsigned> peer_node::acceptPushedChanges(const change_set &changes)
--- a/src/shell/peer/peer_node.h
+++ b/src/shell/peer/peer_node.h
@@ -8,6 +8,7 @@
 #include "sequoiawharf/membership.h"
 #include "sequoiawharf/pool_sums.h"
 #include "sequoiawharf/settings.h"
+#include "sequoiawharf/transfer_schedule.h"
 #include "src/shell/peer/peer_client.h"
 #include "src/shell/peer/peer_server.h"
 #include "src/shell/peer/published_views.h"
@@ -141,7 +142,7 @@
     boost::asio::awaitable<void> push(host_port to, std::string body);
     boost::asio::awaitable<tl::expected<std::string, unsigned>> answer(std::string request);
     tl::expected<std::string, unsigned> answerHeartbeat(const heartbeat_message &message);
-    tl::expected<std::string, unsigned> answerChangeRequest(const change_request &request);
+    boost::asio::awaitable<tl::expected<std::string, unsigned>> answerChangeRequest(config_version since);
     tl::expected<std::string, unsigned> acceptPushedChanges(const change_set &changes);
     void recordVersions(const heartbeat_message &message);
     void pushChanges(config_version previous);
@@ -157,6 +158,7 @@
     random_source m_random;
     membership m_members;
     config_follower m_follower;
+    transfer_schedule m_transfers; ///< Of configurations that other instances requested.
     pool_sums m_sums;
     far_pools m_farPools;
     published_directory m_directory;
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -4,6 +4,7 @@
 #include "sequoiawharf/member_directory.h"
 #include "sequoiawharf/rendezvous.h"
 #include "sequoiawharf/stop_plan.h"
+#include "sequoiawharf/transfer_schedule.h"
 #include "tests/property.h"
 
 #include <algorithm>
@@ -43,6 +44,9 @@
     CPPUNIT_TEST(additionalBytesAreAdmittedOnce);
     CPPUNIT_TEST(followerAsksNearestFirst);
     CPPUNIT_TEST(followerTriesAnotherAfterFailure);
+    CPPUNIT_TEST(followerKeepsItsOnlySourceAfterAFailure);
+    CPPUNIT_TEST(followersOfOneVersionAskDifferentInstances);
+    CPPUNIT_TEST(manyRequestsForAChangeLeaveRoomOnTheLink);
     CPPUNIT_TEST(noticesAreNewOnceAndExpire);
     CPPUNIT_TEST(eachRankBelongsToOneName);
     CPPUNIT_TEST_SUITE_END();
@@ -194,6 +198,59 @@
         CPPUNIT_ASSERT(third.has_value());
     }
 
+    // Guards against an instance that reads all tables from the service because the only instance that it had heard of was busy.
+    void followerKeepsItsOnlySourceAfterAFailure()
+    {
+        config_follower follower;
+        const host_port only {"10.0.0.1", 1};
+        follower.heard(only, nearness::DataCentre, 9, kNow, m_random);
+        const auto first = follower.next(5, kNow + 1s);
+        follower.finishQuery(*first, true, kNow + 1s);
+        CPPUNIT_ASSERT(!follower.next(5, kNow + 1s));
+        const auto second = follower.next(5, kNow + 2s);
+        CPPUNIT_ASSERT(second && second->to == only);
+    }
+
+    // Guards against a whole data centre that asks the same instance, while others have the change as well.
+    void followersOfOneVersionAskDifferentInstances()
+    {
+        std::map<host_port, unsigned> asked;
+        for (unsigned i = 0; i < 100; ++i) {
+            config_follower follower;
+            for (const std::uint16_t port : {1, 2, 3, 4}) {
+                follower.heard({"10.0.0.1", port}, nearness::DataCentre, 9, kNow, m_random);
+            }
+            ++asked[follower.next(5, kNow + 1s)->to];
+        }
+        CPPUNIT_ASSERT(asked.size() == 4 && std::ranges::max(asked | std::views::values) < 50);
+    }
+
+    // Guards against late answers to every other question while thirty instances request a change of 25 KB: on a link of 10 Mbit/s the answers would
+    // stand before them for half a second.
+    void manyRequestsForAChangeLeaveRoomOnTheLink()
+    {
+        constexpr std::uint64_t kBytes = 25'000;
+        constexpr double kLinkBytesPerSecond = 10e6 / 8;
+        transfer_schedule transfers(800'000, 400ms);
+        std::vector<mono_time> starts;
+        unsigned refused = 0;
+        for (unsigned i = 0; i < 30; ++i) {
+            const auto now = kNow + std::chrono::milliseconds(m_random.below(300));
+            if (const auto wait = transfers.reserve(kBytes, now)) {
+                CPPUNIT_ASSERT(*wait <= 400ms);
+                starts.push_back(now + *wait);
+            } else {
+                ++refused;
+            }
+        }
+        CPPUNIT_ASSERT(refused > 0 && starts.size() > 12);
+        for (std::size_t i = 1; i < starts.size(); ++i) {
+            const std::chrono::duration<double> gap = starts[i] - starts[i - 1];
+            CPPUNIT_ASSERT_MESSAGE("a third of the link must stay free", gap.count() >= kBytes / kLinkBytesPerSecond * 1.5);
+        }
+        CPPUNIT_ASSERT_MESSAGE("an instance without requests for a while must answer at once", transfers.reserve(kBytes, kNow + 10s) == 0ns);
+    }
+
     void noticesAreNewOnceAndExpire()
     {
         leaving_endpoints leavingEndpoints;
