--- a/include/sequoiawharf/transfer_schedule.h
+++ b/include/sequoiawharf/transfer_schedule.h
@@ -9,6 +9,12 @@
 namespace sequoiawharf
 {
 
+/// Rate of an instance's transfers: two thirds of a link of 10 Mbit/s.
+inline constexpr std::uint64_t kTransferBytesPerSecond = 800'000;
+
+/// Longest wait of a transfer. Shorter than the time after which config_follower queries another instance.
+inline constexpr std::chrono::milliseconds kMaxTransferWait {400};
+
 /// Spaces the transfers of one instance to others, so that many requests at once leave part of its link to everything else. Uses no clock. Not
 /// thread safe.
 class transfer_schedule
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -28,8 +28,6 @@
 constexpr std::chrono::milliseconds kChangesTimeout {10'000};
 constexpr std::uint64_t kControlBytesPerSecond = 20'000;
 constexpr std::size_t kMaxPushBytes = 16U << 10U; ///< Instances that lack a larger change request it themselves.
-constexpr std::uint64_t kTransferBytesPerSecond = 800'000; ///< Two thirds of a link of 10 Mbit/s.
-constexpr std::chrono::milliseconds kMaxTransferWait {400}; ///< Shorter than the time after which the other instance asks elsewhere.
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooManyRequests = 429;
 
--- a/tests/membership/fleet.cpp
+++ b/tests/membership/fleet.cpp
@@ -91,9 +91,9 @@
     return all;
 }
 
-void fleet::accept(const std::string &name, config_version version)
+void fleet::accept(const std::string &name, config_version version, bool pushes)
 {
-    adopt(at(name), version, true);
+    adopt(at(name), version, pushes);
 }
 
 void fleet::adopt(fleet_instance &at, config_version version, bool pushOn)
@@ -218,24 +218,29 @@
     auto *const to = byPeer(query.to);
     const bool sent = to != nullptr && transmit(from, *to, [this, &from, to, query] {
                           crossRegionChanges += query.distance == nearness::Far && to->version > query.since ? 1 : 0;
-                          transmit(*to, from, [this, &from, query, version = to->version] {
-                              from.follower.finishQuery(query, false, m_now);
-                              adopt(from, version, query.distance != nearness::DataCentre);
-                          });
+                          const auto wait = to->transfers.reserve(changeBytes, m_now);
+                          const auto sending = std::chrono::nanoseconds(changeBytes * std::nano::den / linkBytesPerSecond);
+                          const auto answer = [this, &from, query, version = to->version, isRefused = !wait] {
+                              from.follower.finishQuery(query, isRefused, m_now);
+                              if (!isRefused) {
+                                  adopt(from, version, query.distance != nearness::DataCentre);
+                              }
+                          };
+                          transmit(*to, from, answer, std::chrono::duration_cast<std::chrono::milliseconds>(wait ? *wait + sending : 0ns));
                       });
     if (!sent) {
         from.follower.finishQuery(query, true, m_now);
     }
 }
 
-bool fleet::transmit(const fleet_instance &from, fleet_instance &to, std::function<void()> action)
+bool fleet::transmit(const fleet_instance &from, fleet_instance &to, std::function<void()> action, std::chrono::milliseconds sending)
 {
     if ((cut && (cut(from.name, to.name) || cut(to.name, from.name))) || to.dead || m_random.unit() < dropRate) {
         return false;
     }
     const auto copies = m_random.unit() < duplicateRate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        m_queue.emplace(m_now + delay(from, to), delivery {&to, action});
+        m_queue.emplace(m_now + sending + delay(from, to), delivery {&to, action});
     }
     return true;
 }
--- a/tests/membership/fleet.h
+++ b/tests/membership/fleet.h
@@ -3,6 +3,7 @@
 #include "sequoiawharf/config_follower.h"
 #include "sequoiawharf/member_directory.h"
 #include "sequoiawharf/membership.h"
+#include "sequoiawharf/transfer_schedule.h"
 
 #include <functional>
 #include <map>
@@ -20,6 +21,7 @@
     membership_settings settings;
     std::unique_ptr<membership> members;
     config_follower follower;
+    transfer_schedule transfers {kTransferBytesPerSecond, kMaxTransferWait};
     config_version version = 0;
     config_version highestVersion = 0; ///< Highest version it has had.
     bool versionDecreased = false;
@@ -51,8 +53,8 @@
     /// Sets all current instances as hints at each of them.
     void publishHints();
 
-    /// Sets the version of one instance, as if read from the log, and pushes it to the live members of its data centre.
-    void accept(const std::string &name, config_version version);
+    /// Sets the version of one instance, as if read from the log. pushes: sends it to the live members of its data centre as well.
+    void accept(const std::string &name, config_version version, bool pushes = true);
 
     /// Advances virtual time by the duration.
     void run(std::chrono::milliseconds duration);
@@ -74,6 +76,8 @@
     double dropRate = 0;
     double duplicateRate = 0;
     std::chrono::milliseconds jitter {5};
+    std::uint64_t changeBytes = 0; ///< Size of a configuration change, which takes time on the sender's link.
+    std::uint64_t linkBytesPerSecond = 1'250'000; ///< Of each instance's link, for changes only.
     std::uint64_t crossRegionChanges = 0; ///< Configuration changes that were sent between regions.
     std::function<void()> onStep; ///< Runs after every step of virtual time.
 
@@ -89,7 +93,7 @@
     void recordVersions(fleet_instance &at, const heartbeat_message &message);
     void adopt(fleet_instance &at, config_version version, bool pushOn);
     void sendQuery(fleet_instance &from, const change_query &query);
-    bool transmit(const fleet_instance &from, fleet_instance &to, std::function<void()> action);
+    bool transmit(const fleet_instance &from, fleet_instance &to, std::function<void()> action, std::chrono::milliseconds sending = {});
     std::chrono::milliseconds delay(const fleet_instance &from, const fleet_instance &to);
     fleet_instance *byPeer(const host_port &peer);
 
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(leavingEndpointIsKnownToAllInstances);
     CPPUNIT_TEST(versionsConverge);
     CPPUNIT_TEST(changeCrossesRegionsTwiceOnAverage);
+    CPPUNIT_TEST(aLargeChangeSpreadsOverSmallLinks);
     CPPUNIT_TEST(budgetHoldsInEveryWindow);
     CPPUNIT_TEST(logReadersAreFewAndAreReplaced);
     CPPUNIT_TEST_SUITE_END();
@@ -304,6 +305,24 @@
         });
     }
 
+    // Guards against late configurations when a change is too large for one instance's link of 10 Mbit/s to send it to the whole data centre.
+    void aLargeChangeSpreadsOverSmallLinks()
+    {
+        for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+            fleet all(seed);
+            for (unsigned i = 0; i < 30; ++i) {
+                all.add("n" + std::to_string(i), kCentres.front());
+            }
+            all.publishHints();
+            all.run(4s);
+            all.changeBytes = 80U << 10U;
+            all.accept("n0", 7, false);
+            all.run(2s);
+            const auto live = all.live();
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t {30}, std::ranges::count(live, config_version {7}, &fleet_instance::version));
+        }
+    }
+
     void restartedInstanceDoesNotNameItselfAlone()
     {
         fleet all(6);
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -231,7 +231,7 @@
     {
         constexpr std::uint64_t kBytes = 25'000;
         constexpr double kLinkBytesPerSecond = 10e6 / 8;
-        transfer_schedule transfers(800'000, 400ms);
+        transfer_schedule transfers(kTransferBytesPerSecond, kMaxTransferWait);
         std::vector<mono_time> starts;
         unsigned refused = 0;
         for (unsigned i = 0; i < 30; ++i) {
