Give up the only known source of a configuration after four failures

Found while the change was read: an instance that cannot reach the store waits for peers that are known to have a newer version. Kept without end, a source that is gone would have held it back for good. followerKeepsItsOnlySourceAfterAFailure checks the end as well.

--- a/include/sequoiawharf/config_follower.h
+++ b/include/sequoiawharf/config_follower.h
@@ -47,6 +47,7 @@
         config_version version = 0;
         mono_time due; ///< Earliest time of a query to it.
         std::uint32_t order = 0; ///< Random, so that of equally good sources each instance queries another one.
+        unsigned failures = 0; ///< Queries to it that failed.
     };
 
     std::vector<source> m_sources;
--- a/src/membership/config_follower.cpp
+++ b/src/membership/config_follower.cpp
@@ -1,6 +1,7 @@
 #include "sequoiawharf/config_follower.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace sequoiawharf
@@ -16,6 +17,8 @@
 constexpr milliseconds kFarQueryTimeout {1000};
 constexpr milliseconds kRetryDelay {250};
 constexpr std::uint32_t kOrders = 1U << 16U;
+constexpr unsigned kMaxFailures = 4; ///< Of queries to the only known source.
+constexpr auto kNewestVersion = std::numeric_limits<config_version>::max();
 
 /// Returns a random delay, so that the instances don't all send queries at once and a change that is already being sent arrives first.
 milliseconds delayFor(nearness distance, random_source &random)
@@ -64,7 +67,7 @@
     const source *best = nullptr;
     std::ranges::for_each(m_sources, [&](const source &known) {
         const auto rankOf = [](const source &one) {
-            return std::tuple(one.distance, ~one.version, one.order);
+            return std::tuple(one.distance, kNewestVersion - one.version, one.order);
         };
         if (now >= known.due && (best == nullptr || rankOf(known) < rankOf(*best))) {
             best = &known;
@@ -80,11 +83,14 @@
 void config_follower::finishQuery(const change_query &query, bool failed, mono_time now)
 {
     m_nextQueryAt = failed ? std::optional(now + kRetryDelay) : std::nullopt;
+    const auto queried = std::ranges::find(m_sources, query.to, &source::peer);
+    if (queried == m_sources.end()) {
+        return;
+    }
     // The only source is kept after a failure: it may have been busy, and may not be heard of again for a second.
-    if (!failed || m_sources.size() > 1) {
-        std::erase_if(m_sources, [&](const source &known) {
-            return known.peer == query.to;
-        });
+    const bool isKept = failed && m_sources.size() == 1 && ++queried->failures < kMaxFailures;
+    if (!isKept) {
+        m_sources.erase(queried);
     }
 }
 
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -209,6 +209,11 @@
         CPPUNIT_ASSERT(!follower.next(5, kNow + 1s));
         const auto second = follower.next(5, kNow + 2s);
         CPPUNIT_ASSERT(second && second->to == only);
+        // An instance must not wait forever for one that is gone.
+        for (unsigned i = 0; i < 5; ++i) {
+            follower.finishQuery(*second, true, kNow + 2s);
+        }
+        CPPUNIT_ASSERT(!follower.isBehind(5));
     }
 
     // Guards against a whole data centre that asks the same instance, while others have the change as well.
