--- a/src/shell/instance/control_metrics.cpp
+++ b/src/shell/instance/control_metrics.cpp
@@ -88,6 +88,9 @@
     add("client", "received", control.bytesReceived);
     add("threads", "sent", relayed.bytesSent);
     add("threads", "received", relayed.bytesReceived);
+    text.begin("sequoiawharf_peer_silent_connections_total", "counter", "Connections between instances closed because nothing arrived on them.");
+    text.line("sequoiawharf_peer_silent_connections_total{{side=\"client\"}} {}\n", control.silentSessions.load(std::memory_order_relaxed));
+    text.line("sequoiawharf_peer_silent_connections_total{{side=\"threads\"}} {}\n", relayed.silentSessions.load(std::memory_order_relaxed));
 }
 
 } // namespace
--- a/src/shell/peer/peer_client.cpp
+++ b/src/shell/peer/peer_client.cpp
@@ -84,7 +84,7 @@
         stream->reset(NGHTTP2_CANCEL);
     }
     if (!answer && session->lastReceived() <= opened) {
-        session->close();
+        session->closeSilent();
     }
     co_return answer;
 }
--- a/src/shell/peer/peer_session.cpp
+++ b/src/shell/peer/peer_session.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/peer/peer_session.h"
 
+#include "src/shell/net/log.h"
 #include "src/shell/peer/peer_callbacks.h"
 #include "src/shell/peer/peer_stream.h"
 
@@ -23,6 +24,7 @@
 namespace asio = boost::asio;
 using clock = std::chrono::steady_clock;
 
+constexpr std::string_view kSessionPart = "peer";
 constexpr std::int32_t kStreamWindowBytes = 128 << 10;
 constexpr std::int32_t kConnectionWindowBytes = 1 << 20;
 constexpr std::uint32_t kMaxStreams = 512;
@@ -125,7 +127,7 @@
         co_await m_received.wait(pinged + timeout);
     }
     if (m_lastReceived <= pinged) {
-        close();
+        closeSilent();
     }
     co_return !m_closed;
 }
@@ -158,6 +160,23 @@
     m_flushed.notify();
 }
 
+void peer_session::closeSilent()
+{
+    if (m_closed) {
+        return;
+    }
+    boost::system::error_code ignored;
+    const auto remote = m_socket.remote_endpoint(ignored);
+    logTo(log_level::Info,
+          kSessionPart,
+          "Closing a connection to another instance on which nothing arrives. peer={} silent_ms={} streams={}",
+          toString(host_port {remote.address().to_string(), remote.port()}),
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - m_lastReceived).count(),
+          m_streams.size());
+    m_traffic->silentSessions.fetch_add(1, std::memory_order_relaxed);
+    close();
+}
+
 void peer_session::consume(std::int32_t id, std::size_t size)
 {
     if (!m_closed) {
@@ -289,7 +308,7 @@
             nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
             m_sendReady.notify();
         } else if (now - m_pingSent > kSilenceTimeout) {
-            close();
+            closeSilent();
         }
     }
 }
--- a/src/shell/peer/peer_session.h
+++ b/src/shell/peer/peer_session.h
@@ -26,6 +26,7 @@
 struct peer_traffic {
     std::atomic<std::uint64_t> bytesSent {0};
     std::atomic<std::uint64_t> bytesReceived {0};
+    std::atomic<std::uint64_t> silentSessions {0}; ///< Sessions that were closed because nothing arrived on them any more.
 };
 
 /// One multiplexed HTTP/2 connection between two instances, without TLS and with prior knowledge. Used on the thread of the socket.
@@ -83,6 +84,9 @@
     /// Closes the connection at once. Open streams end as Broken, or as Refused when nothing of them was sent.
     void close();
 
+    /// Closes the connection like close(), logs that nothing arrives on it any more, and counts it.
+    void closeSilent();
+
 private:
     friend class peer_stream;
     struct callbacks;
--- a/tests/gateway/pool_test.cpp
+++ b/tests/gateway/pool_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(silentConnectionMakesItsSiblingsSuspect);
     CPPUNIT_TEST(hedgeUsesNoUnprovenIdleConnection);
     CPPUNIT_TEST(nonIdempotentCallReplacesAnIdleConnection);
+    CPPUNIT_TEST(anEndpointThatAsksForRestGetsNoCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -182,6 +183,47 @@
             return open == 1;
         }));
     }
+
+    // Guards against requests to an endpoint that has answered 503 with Retry-After: from half a second after its answer it must be left alone.
+    void anEndpointThatAsksForRestGetsNoCalls()
+    {
+        constexpr milliseconds kRest {2000};
+        constexpr milliseconds kGrace {500};
+        std::atomic<std::int64_t> firstAnswerMs {0};
+        std::atomic<int> lateRequests {0};
+        const auto nowMs = [] {
+            return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+        };
+        const fake_target resting([&](target_peer &peer) {
+            while (!peer.readRequest().empty()) {
+                std::int64_t none = 0;
+                const auto sinceFirst = firstAnswerMs.compare_exchange_strong(none, nowMs()) ? 0 : nowMs() - none;
+                lateRequests += sinceFirst > kGrace.count() && sinceFirst < kRest.count() ? 1 : 0;
+                peer.answer("", "503 Service Unavailable", "Retry-After: 2\r\n");
+            }
+        });
+        const fake_target serving(alwaysAnswer("x"));
+        gateway_rig rig({&resting, &serving}, nullptr, 2);
+        rig.targetPool.maxConnections = 250;
+        rig.start();
+        std::vector<std::thread> callers;
+        std::atomic<int> unanswered {0};
+        callers.reserve(4);
+        for (int i = 0; i < 4; ++i) {
+            callers.emplace_back([&] {
+                test_caller caller(rig.address());
+                const auto until = std::chrono::steady_clock::now() + kRest - milliseconds(100);
+                while (std::chrono::steady_clock::now() < until) {
+                    unanswered += caller.call("POST", "/", "x").ending() == "answered" ? 0 : 1;
+                    std::this_thread::sleep_for(milliseconds(2));
+                }
+            });
+        }
+        std::ranges::for_each(callers, &std::thread::join);
+        CPPUNIT_ASSERT(resting.runs() > 0);
+        CPPUNIT_ASSERT_EQUAL(0, unanswered.load());
+        CPPUNIT_ASSERT_EQUAL(0, lateRequests.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(pool_test);
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -1,11 +1,13 @@
 #include "sequoiawharf/link_budget.h"
 #include "src/shell/net/page_server.h"
+#include "src/shell/net/pause.h"
 #include "src/shell/peer/link_pacer.h"
 #include "src/shell/peer/peer_client.h"
 #include "src/shell/peer/peer_relay.h"
 #include "src/shell/peer/peer_server.h"
 #include "src/shell/peer/peer_stream.h"
 #include "tests/property.h"
+#include "tools/link/link_relay.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,6 +27,7 @@
 using namespace std::chrono_literals;
 
 const host_port kFar {"127.13.0.1", 17301};
+const host_port kRelayedFar {"127.13.0.4", 17302}; // reaches kFar through a link that can lose its connections
 const peer_identity kSelf {instance_id("near"), 7};
 const peer_identity kFarSelf {instance_id("far"), 9};
 
@@ -171,6 +174,12 @@
     }
 }
 
+// Sends a request like one for the changes of the configuration.
+asio::awaitable<tl::expected<std::string, peer_error>> requestChanges(peer_client &client, std::string body)
+{
+    co_return co_await client.request(kRelayedFar, std::move(body), 10s);
+}
+
 /// A server of a far instance, and a relay and a control client that connect to it, on one context.
 struct peer_pair {
     peer_pair()
@@ -254,6 +263,7 @@
     CPPUNIT_TEST(answersControlRequests);
     CPPUNIT_TEST(reconnectsAfterTheServerClosed);
     CPPUNIT_TEST(silentConnectionIsReplaced);
+    CPPUNIT_TEST(aRequestFindsOutSoonThatItsConnectionIsSilent);
     CPPUNIT_TEST(bulkIsPacedAndUrgentIsNot);
     CPPUNIT_TEST(carriesWholeCall);
     CPPUNIT_TEST(carriesLargeBodiesBothWays);
@@ -314,6 +324,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string("echo b"), pair.control("b").value());
     }
 
+    /// Guards against a configuration that comes into force late because the request for it waits for seconds on a connection that has fallen silent.
+    void aRequestFindsOutSoonThatItsConnectionIsSilent()
+    {
+        constexpr auto kIdleTime = 1500ms; // most connections between instances of a large data centre carry a heartbeat each few seconds
+        constexpr auto kMaxDelay = 700ms; // of a bound of 2.5 seconds, which also has to cover the reader's poll and the next query to the reader
+        stand_in::link_state link;
+        link.forward.delay = link.backward.delay = 0us;
+        peer_pair pair;
+        CPPUNIT_ASSERT(stand_in::serveMap(pair.context, link, {.listen = kRelayedFar, .server = kFar}));
+        tl::expected<std::string, peer_error> answer;
+        clock::duration took {};
+        pair.run([&]() -> asio::awaitable<void> {
+            answer = co_await pair.client.request(kRelayedFar, "a", 2s);
+            co_await pauseFor(kIdleTime);
+            link.silentUpTo = link.serial;
+            const auto begun = clock::now();
+            answer = co_await requestChanges(pair.client, "b");
+            took = clock::now() - begun;
+        }());
+        CPPUNIT_ASSERT_EQUAL(std::string("echo b"), answer.value_or("no answer"));
+        CPPUNIT_ASSERT(took < kMaxDelay);
+    }
+
     void bulkIsPacedAndUrgentIsNot()
     {
         link_budget budget(100'000);
--- a/tools/link/link_relay.cpp
+++ b/tools/link/link_relay.cpp
@@ -114,6 +114,9 @@
             boost::system::error_code ignored;
             co_await pace.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
+        if (silent()) {
+            co_return; // neither does the other side learn that this one has closed
+        }
         queue->blocks.push_back({{}, std::chrono::steady_clock::now() + lane.delay});
         queue->wake.cancel();
     }
--- a/tools/link/link_relay.h
+++ b/tools/link/link_relay.h
@@ -20,7 +20,7 @@
     link_lane backward {"backward"};
     bool cut = false; ///< New connections are closed at once, and open ones are closed.
     std::uint64_t serial = 0; ///< Number of the newest connection.
-    std::uint64_t silentUpTo = 0; ///< Bytes of connections up to this number are discarded.
+    std::uint64_t silentUpTo = 0; ///< Bytes of connections up to this number are discarded, and their ends are not passed on.
     std::unordered_set<link_pipe *> pipes;
 
     /// Closes every open connection.
