Wait for an answer of the store as long as parts of it arrive

Callers saw calls handled by an older version seconds after a newer one was acknowledged. An answer of the store had 2.5 s in all: one that needed longer, as large tables do on a full link, was given up while its bytes arrived and requested again from the first byte, and so on without end. reconnect() also replaced a call of 1.5 s and more whose answer was arriving, beside the old one, which doubles the bytes on a link that is full already; ten instances of the incident's data centre logged that.

--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -27,6 +27,7 @@
 // A TCP connection opens within one round trip, or one second later when its first packet is lost. The separate bound keeps a request with a long
 // timeout from waiting that long for an unreachable server.
 constexpr std::chrono::milliseconds kMaxConnectTime {1500};
+constexpr std::chrono::seconds kMaxTransferTime {20}; // of an answer that keeps arriving; ends one that a faulty server never finishes
 
 http::request<http::string_body> toBeast(http_request &&request, const host_port &server, bool keepOpen)
 {
@@ -79,22 +80,47 @@
     m_isOpen = false;
     m_stream.expires_after(timeout);
     const auto maxAnswerBytes = request.maxAnswerBytes;
+    const auto stallTimeout = request.stallTimeout;
+    const auto progress = std::move(request.progress);
     const auto message = toBeast(std::move(request), m_server, keepOpen);
     boost::system::error_code error;
     co_await http::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return tl::unexpected(http_error::Lost);
     }
-    http::response_parser<http::string_body> parser;
+    answer_parser parser;
     parser.body_limit(maxAnswerBytes);
-    co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    bool isComplete = false;
+    if (stallTimeout) {
+        isComplete = co_await readInParts(parser, *stallTimeout, progress);
+    } else {
+        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        isComplete = !error;
+    }
+    if (!isComplete) {
         co_return tl::unexpected(http_error::Lost);
     }
     m_isOpen = keepOpen && parser.get().keep_alive();
     co_return http_answer {parser.get().result_int(), std::move(parser.get().body())};
 }
 
+// Reads an answer that may take any time as long as parts of it arrive. Returns whether it is complete.
+asio::awaitable<bool> http_session::readInParts(answer_parser &parser, std::chrono::milliseconds stallTimeout, std::shared_ptr<http_progress> progress)
+{
+    const auto until = std::chrono::steady_clock::now() + kMaxTransferTime + stallTimeout;
+    boost::system::error_code error;
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        const auto now = std::chrono::steady_clock::now();
+        if (progress) {
+            progress->lastReceived = now;
+        }
+        m_stream.expires_at(std::min(until, now + stallTimeout));
+    }
+    co_return !error;
+}
+
 asio::awaitable<tl::expected<http_answer, http_error>> fetch(http_request request, std::chrono::milliseconds timeout)
 {
     const auto executor = co_await asio::this_coro::executor;
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -1,20 +1,30 @@
 #pragma once
 
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/time.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <tl/expected.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace sequoiawharf
 {
 
+/// What has arrived of an answer so far. Used on the thread of the request.
+struct http_progress {
+    mono_time lastReceived {}; ///< When the last part arrived; the clock's epoch before the first one.
+};
+
 /// A complete HTTP request of the control plane; calls do not use it.
 struct http_request {
     host_port server;
@@ -23,6 +33,9 @@
     std::string body;
     std::string contentType = "application/json";
     std::uint64_t maxAnswerBytes = 256U << 20U; ///< A larger answer body fails the request with Lost.
+    /// Set: the timeout of the request bounds the time until the first part of the answer, and this one the time between two parts.
+    std::optional<std::chrono::milliseconds> stallTimeout {};
+    std::shared_ptr<http_progress> progress {}; ///< Updated while the answer arrives, when stallTimeout is set; may be null.
 };
 
 /// A complete HTTP answer.
@@ -45,11 +58,14 @@
     http_session(const boost::asio::any_io_executor &executor, host_port server);
 
     /// Sends the request, whose server is ignored, and returns its answer. Connecting is bounded by the timeout and by 1.5 s; sending and reading
-    /// together are bounded by the timeout. keepOpen: the connection stays open for another request.
+    /// together are bounded by the timeout, or by 20 s when the request has a stallTimeout. keepOpen: the connection stays open for another request.
     boost::asio::awaitable<tl::expected<http_answer, http_error>> fetch(http_request request, std::chrono::milliseconds timeout, bool keepOpen);
 
 private:
+    using answer_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
     boost::asio::awaitable<bool> connect(std::chrono::milliseconds timeout);
+    boost::asio::awaitable<bool> readInParts(answer_parser &parser, std::chrono::milliseconds stallTimeout, std::shared_ptr<http_progress> progress);
 
     host_port m_server;
     boost::beast::tcp_stream m_stream;
