Test a connection to another instance before a configuration depends on it

Callers saw calls handled by an older version. A request for the changes of the configuration, or a pushed change, went out on a connection that had carried nothing for up to 30 s. Where the connection had fallen silent, the request was given up after a ping of 1 s each way (2.5 s in all), lost, and begun anew; that alone is most of the bound.

Such a request now goes out on a connection that carried bytes within the last second, or that answers a ping within 0.3 s; else a new one is opened at once. Heartbeats stay as they were: they are repeated anyway, and a ping before each would cost bytes between data centres.

--- a/src/shell/peer/peer_client.cpp
+++ b/src/shell/peer/peer_client.cpp
@@ -21,7 +21,6 @@
 using request_result = tl::expected<std::string, peer_error>;
 
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
-constexpr std::chrono::seconds kControlPingAfter {30};
 constexpr std::chrono::seconds kPeerIdleTimeout {120};
 
 asio::awaitable<request_result> readAnswer(peer_stream &stream, mono_time until)
@@ -60,15 +59,15 @@
     close(false);
 }
 
-asio::awaitable<request_result> peer_client::request(host_port peer, std::string body, std::chrono::milliseconds timeout)
+asio::awaitable<request_result> peer_client::request(host_port peer, std::string body, std::chrono::milliseconds timeout, std::chrono::milliseconds pingAfter)
 {
     const auto until = clock::now() + timeout;
     auto &slot = m_connections[peer];
     if (!slot) {
-        slot = std::make_shared<peer_connection>(peer, m_traffic, kControlPingAfter);
+        slot = std::make_shared<peer_connection>(peer, m_traffic);
     }
     const auto connection = slot;
-    const auto session = co_await connection->get(until);
+    const auto session = co_await connection->get(until, pingAfter);
     const header_list head {{":method", "POST"}, {":scheme", "http"}, {":authority", "peer"}, {":path", "/control"}};
     const auto opened = clock::now();
     const auto stream = session ? session->open(head, true) : nullptr;
--- a/src/shell/peer/peer_connection.cpp
+++ b/src/shell/peer/peer_connection.cpp
@@ -23,10 +23,9 @@
 
 } // namespace
 
-peer_connection::peer_connection(host_port address, std::shared_ptr<peer_traffic> traffic, std::chrono::milliseconds pingAfter)
+peer_connection::peer_connection(host_port address, std::shared_ptr<peer_traffic> traffic)
     : m_address(std::move(address))
     , m_traffic(std::move(traffic))
-    , m_pingAfter(pingAfter)
 {
 }
 
@@ -36,10 +35,10 @@
     return session && session->isUsable() ? session : nullptr;
 }
 
-asio::awaitable<std::shared_ptr<peer_session>> peer_connection::get(mono_time until)
+asio::awaitable<std::shared_ptr<peer_session>> peer_connection::get(mono_time until, std::chrono::milliseconds pingAfter)
 {
     m_lastUsed = clock::now();
-    const bool sessionLive = co_await isSessionLive();
+    const bool sessionLive = co_await isSessionLive(pingAfter);
     if (sessionLive) {
         co_return m_session.lock();
     }
@@ -52,13 +51,13 @@
     co_return usableSession();
 }
 
-asio::awaitable<bool> peer_connection::isSessionLive()
+asio::awaitable<bool> peer_connection::isSessionLive(std::chrono::milliseconds pingAfter)
 {
     const auto session = usableSession();
     if (!session) {
         co_return false;
     }
-    if (clock::now() - session->lastReceived() < m_pingAfter) {
+    if (clock::now() - session->lastReceived() < pingAfter) {
         co_return true;
     }
     const bool live = co_await session->probeLiveness(kPingTimeout);
--- a/src/shell/peer/peer_connection.h
+++ b/src/shell/peer/peer_connection.h
@@ -13,11 +13,11 @@
 class peer_connection
 {
 public:
-    /// pingAfter: time without received bytes after which a session must answer a ping before get() returns it.
-    peer_connection(host_port address, std::shared_ptr<peer_traffic> traffic, std::chrono::milliseconds pingAfter);
+    peer_connection(host_port address, std::shared_ptr<peer_traffic> traffic);
 
-    /// Returns a session that accepts new streams, or null when none is available before the given time or during a backoff.
-    boost::asio::awaitable<std::shared_ptr<peer_session>> get(mono_time until);
+    /// Returns a session that accepts new streams, or null when none is available before the given time or during a backoff. pingAfter: time without
+    /// received bytes after which a session must answer a ping before it is returned.
+    boost::asio::awaitable<std::shared_ptr<peer_session>> get(mono_time until, std::chrono::milliseconds pingAfter);
 
     /// Returns the time of the last call of get().
     mono_time lastUsed() const
@@ -31,11 +31,10 @@
 private:
     boost::asio::awaitable<void> connect(mono_time until);
     std::shared_ptr<peer_session> usableSession() const;
-    boost::asio::awaitable<bool> isSessionLive();
+    boost::asio::awaitable<bool> isSessionLive(std::chrono::milliseconds pingAfter);
 
     host_port m_address;
     std::shared_ptr<peer_traffic> m_traffic;
-    std::chrono::milliseconds m_pingAfter;
     std::weak_ptr<peer_session> m_session; ///< Weak: the session's coroutines own the session, so that it is destroyed with their io_context.
     async_signal m_connected;
     mono_time m_lastUsed;
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -281,7 +281,7 @@
 asio::awaitable<void> peer_node::requestChanges(change_query query)
 {
     const auto body = encode(change_request {query.since});
-    const auto bytes = co_await m_client.request(query.to, body, kChangesTimeout);
+    const auto bytes = co_await m_client.request(query.to, body, kChangesTimeout, kPingAfterPause);
     const auto reply = bytes ? decode(*bytes) : tl::unexpected(codec_error::Malformed);
     const auto *const changes = reply ? std::get_if<change_set>(&*reply) : nullptr;
     m_follower.finishQuery(query, changes == nullptr, clock::now());
@@ -298,7 +298,7 @@
 
 asio::awaitable<void> peer_node::push(host_port to, std::string body)
 {
-    co_await m_client.request(to, body, kHeartbeatTimeout);
+    co_await m_client.request(to, body, kHeartbeatTimeout, kPingAfterPause);
 }
 
 void peer_node::pushChanges(config_version previous)
--- a/src/shell/peer/peer_relay.cpp
+++ b/src/shell/peer/peer_relay.cpp
@@ -194,10 +194,10 @@
     const peer_identity receiver {target.instance, target.process};
     auto &slot = m_connections[receiver];
     if (!slot) {
-        slot = std::make_shared<peer_connection>(target.peer, m_parts.traffic, kRelayPingAfter);
+        slot = std::make_shared<peer_connection>(target.peer, m_parts.traffic);
     }
     const auto connection = slot;
-    const auto session = co_await connection->get(deadline);
+    const auto session = co_await connection->get(deadline, kRelayPingAfter);
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - clock::now());
     if (!session || remaining.count() <= 0) {
         co_return nullptr;
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -177,7 +177,7 @@
 // Sends a request like one for the changes of the configuration.
 asio::awaitable<tl::expected<std::string, peer_error>> requestChanges(peer_client &client, std::string body)
 {
-    co_return co_await client.request(kRelayedFar, std::move(body), 10s);
+    co_return co_await client.request(kRelayedFar, std::move(body), 10s, kPingAfterPause);
 }
 
 /// A server of a far instance, and a relay and a control client that connect to it, on one context.
