Renew the poll of the reader of a data centre before the bound has passed

Callers saw calls handled by version 4 up to 4.1 s after version 6 was acknowledged. Where a device on the path answers keep-alive probes, the poll of 28 s is not given up before 30.5 s.

The others hear of a version with their next query to the reader. An instance may leave configurations to its reader only where the times of a lost poll fit into the bound (mayUseReaderForConfiguration()).

Ruled out: shorter keep-alive probes; they count in whole seconds, and do not help when they are answered on the way. Short polls of all instances, whose calls grow with the fleet.

--- a/include/sequoiawharf/reading_plan.h
+++ b/include/sequoiawharf/reading_plan.h
@@ -19,6 +19,18 @@
     static reading_times within(std::chrono::milliseconds leavingBound);
 };
 
+/// Times of a read of the service that waits for news.
+struct poll_times {
+    std::chrono::milliseconds wait; ///< Time after which the service answers although there is no news.
+    std::chrono::milliseconds answerTimeout; ///< Time beyond the wait after which a read without an answer counts as lost.
+
+    /// Returns times with which the instance that reads for its data centre notices within the bound that its connection has fallen silent, early enough for
+    /// the others to get a configuration from it within the bound. Thread safe.
+    static poll_times within(std::chrono::milliseconds configurationBound);
+
+    friend bool operator==(const poll_times &, const poll_times &) = default;
+};
+
 /// Timeout of a query to another instance of the data centre. A healthy instance answers in a few milliseconds.
 inline constexpr std::chrono::milliseconds kAskTimeout {300};
 
@@ -45,8 +57,8 @@
 bool readsAtOnce(const instance_id &self);
 
 /// Returns whether an instance may get configurations from the instance that reads for its data centre instead of following the service itself:
-/// the data centre is large, and a change is in force within the bound even if the reader loses the service right before it. others: known other
-/// instances of the data centre. Thread safe.
+/// the data centre is large, and a change is in force within the bound even if the reader loses the service or its connection falls silent right before
+/// it. others: known other instances of the data centre. Thread safe.
 bool mayUseReaderForConfiguration(const reading_times &times, std::chrono::milliseconds configurationBound, std::size_t others);
 
 } // namespace sequoiawharf
--- a/src/discovery/reading_plan.cpp
+++ b/src/discovery/reading_plan.cpp
@@ -33,6 +33,13 @@
     return {.readInterval = leavingBound * 2 / 5, .askInterval = leavingBound * 3 / 10, .maxAnswerAge = leavingBound / 2};
 }
 
+// Three tenths of the bound for the wait, so that the poll costs about as many calls as reading the endpoints, and half as much for an answer that is
+// delayed by a slow service or a full link.
+poll_times poll_times::within(milliseconds configurationBound)
+{
+    return {.wait = configurationBound * 3 / 10, .answerTimeout = configurationBound * 3 / 20};
+}
+
 reading_role chooseReadingRole(const instance_id &self, std::vector<instance_id> others, bool isStarting)
 {
     std::ranges::sort(others, std::ranges::greater {}, readerWeight);
@@ -51,7 +58,10 @@
 
 bool mayUseReaderForConfiguration(const reading_times &times, milliseconds configurationBound, std::size_t others)
 {
-    return others >= kSmallDataCentre && times.maxAnswerAge + times.askInterval + kAskTimeout + kServiceReadTime <= configurationBound;
+    const auto poll = poll_times::within(configurationBound);
+    const auto readerIsLost = times.maxAnswerAge + times.askInterval + kAskTimeout + kServiceReadTime;
+    const auto pollIsLost = poll.wait + poll.answerTimeout + kServiceReadTime + times.askInterval;
+    return others >= kSmallDataCentre && std::max(readerIsLost, pollIsLost) <= configurationBound;
 }
 
 } // namespace sequoiawharf
--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/configuration_state.h"
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/reading_plan.h"
 
 #include <cstdint>
 #include <memory>
@@ -48,6 +49,12 @@
     /// Sets whether this instance follows the operators' changes all the time, or may rely on peers that pass them on.
     virtual void setFollowing(bool following) = 0;
 
+    /// Sets the times of the reads that wait for changes; nothing: the source's own, which cost the fewest reads. A waiting read that would take longer
+    /// is ended. A source whose reads are short anyway may ignore it.
+    virtual void setPollTimes(std::optional<poll_times> /*times*/)
+    {
+    }
+
     /// Returns whether this instance currently follows the operators' changes itself.
     virtual bool isFollowing() const = 0;
 
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -203,6 +203,9 @@
         m_feed->setFollowing(true);
     }
     const auto role = chooseReadingRole(m_settings.id, std::move(ids), isStarting);
+    // The others learn of a new version from the reader within one interval, also those whose own poll has fallen silent.
+    const bool isReliedUpon = role.isReader && !isStarting && !near.empty() && m_settings.configurationBound.count() > 0;
+    m_feed->setPollTimes(isReliedUpon ? std::optional(poll_times::within(m_settings.configurationBound)) : std::nullopt);
     std::vector<host_port> others;
     std::ranges::transform(role.readers, std::back_inserter(others), [&](const instance_id &id) {
         return near.at(id);
--- a/tests/discovery/reading_plan_test.cpp
+++ b/tests/discovery/reading_plan_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(oneInstanceReadsForItsDataCentre);
     CPPUNIT_TEST(anInstanceThatKnowsNoOthersReads);
     CPPUNIT_TEST(aReaderThatLosesTheServiceIsNoticedWithinTheBound);
+    CPPUNIT_TEST(aSilentPollLeavesTimeToPassAConfigurationOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +116,19 @@
             RC_ASSERT(intervals.maxAnswerAge + intervals.askInterval + kAskTimeout < bound);
         });
     }
+
+    // Guards against a configuration that comes into force late in a large data centre because the reader's poll has fallen silent right before.
+    void aSilentPollLeavesTimeToPassAConfigurationOn()
+    {
+        constexpr auto kRepeatedRead = 300ms; // of the service in another region, connection setup included
+        constexpr auto kTransfer = 200ms; // delay and answer of a request to another instance of the data centre
+        for (const auto bound : {2500ms, 3000ms, 4000ms}) {
+            const auto poll = poll_times::within(bound);
+            const auto known = poll.wait + poll.answerTimeout + kRepeatedRead;
+            CPPUNIT_ASSERT(known + reading_times::within(bound).askInterval + kTransfer <= bound);
+            CPPUNIT_ASSERT_MESSAGE("a service that is fifty times slower than usual answers in time", poll.answerTimeout > 300ms);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(reading_plan_test);
