Send no requests to an endpoint that has asked for a rest

Nothing read the field: the answer made the endpoint look full for some milliseconds, after which calls, probes and hedges went on. Evidence: anEndpointThatAsksForRestGetsNoCalls counted 1,060 requests from half a second after the answer to the end of two seconds on the code before, and counts none now.

The dialects read the field on 503 and 429, of calls and probes; endpoint_state holds the end, an atomic that all threads read, so that the next choice on any thread leaves the endpoint out. It holds for calls, retries, hedges, trials, probes, slots that are handed on and connections that were being opened, in panic mode too, and outlives a lapsed entry of the same process. Ten minutes at most, so that one wrong figure does not take an endpoint away for hours; what is no number of seconds is ignored, counted and logged. Calls come back over two seconds. If no endpoint of a pool is left, calls are refused at once as targets-resting, with a time to return behind the first end.

A slot that a call at a leaving endpoint frees is not handed to a waiting call any more either. That was found by reading; no test at the sockets shows it.

Where the answer says that the call was not run, it still does not count against the endpoint's health, and the call is sent elsewhere; else it counts as the server error that it is.

--- a/include/sequoiawharf/call_ending.h
+++ b/include/sequoiawharf/call_ending.h
@@ -22,6 +22,7 @@
     CallerOverShare,
     DeadlineTooShort,
     NoTarget,
+    TargetsResting,
     TargetRefused,
     ConnectFailed,
     ConnectionLost,
--- a/include/sequoiawharf/endpoint_state.h
+++ b/include/sequoiawharf/endpoint_state.h
@@ -34,6 +34,7 @@
     std::atomic<std::int64_t> leavingSinceNs {0}; ///< Time at which this instance learned that the endpoint is leaving.
     std::atomic<std::int64_t> ejectedUntilNs {0}; ///< End of the ejection; trial calls follow it until the endpoint returns.
     std::atomic<std::int64_t> rampStartNs {0}; ///< Start of the slow start.
+    std::atomic<std::int64_t> restUntilNs {0}; ///< End of the newest rest that the endpoint asked for; stays set afterwards.
     std::atomic<std::uint32_t> inFlight {0}; ///< Own calls in flight at the endpoint.
     std::atomic<float> trust {1}; ///< How far the loads that the endpoint reported agreed with the results of own calls, from 0 to 1.
     std::atomic<std::uint64_t> answerLoad {0}; ///< Packed load_sample: newest load reported on an answer.
@@ -43,6 +44,7 @@
 
     std::atomic<std::int64_t> backoffUntilNs {0}; ///< End of the backoff after a refused call; until then the endpoint counts as full.
     std::atomic<bool> isLeavingInTable {false}; ///< The pool table marks the endpoint as leaving.
+    std::atomic<bool> hasSaidLeaving {false}; ///< An answer of the endpoint itself stated that it is leaving.
     std::atomic<std::uint32_t> consecutiveRefusals {0}; ///< Refusals since the last answer.
     std::atomic<std::uint32_t> peakInFlight {0}; ///< Recent peak of own calls in flight; decays with the pool reviews.
     std::atomic<std::uint32_t> samples {0}; ///< Own attempts since the last ejection that were answered or failed.
--- a/include/sequoiawharf/event.h
+++ b/include/sequoiawharf/event.h
@@ -28,6 +28,7 @@
     EndpointEjected,
     EndpointReturned,
     EndpointLeaving,
+    EndpointResting,
     LimitChanged,
     PanicModeChanged,
     ConnectionRetired,
--- a/include/sequoiawharf/pool_balancer.h
+++ b/include/sequoiawharf/pool_balancer.h
@@ -4,6 +4,7 @@
 #include "sequoiawharf/attempt.h"
 #include "sequoiawharf/call_record.h"
 #include "sequoiawharf/connection_plan.h"
+#include "sequoiawharf/endpoint_availability.h"
 #include "sequoiawharf/load_report.h"
 #include "sequoiawharf/locality.h"
 #include "sequoiawharf/pool_table.h"
@@ -82,11 +83,22 @@
     /// Returns the index of the endpoint at the address, or nothing when the pool has none.
     std::optional<std::uint32_t> find(const host_port &address) const;
 
-    /// Returns up to count random endpoints at the distance that are to be probed before a call is sent. Leaves out the excluded and the leaving
-    /// endpoints; returns ejected ones only when there are no others.
+    /// Returns up to count random endpoints at the distance that are to be probed before a call is sent. Leaves out the excluded, the leaving and the
+    /// resting endpoints; returns ejected ones only when there are no others.
     std::vector<std::uint32_t>
     probeCandidates(distance distanceClass, std::size_t count, std::span<const std::uint32_t> excluded, mono_time now, random_source &random) const;
 
+    /// Returns whether the endpoint may get a request now: it has not said that it is leaving or wants a rest. Precondition: index is below the number of
+    /// endpoints of definition().
+    bool mayTakeRequests(std::uint32_t index, mono_time now) const;
+
+    /// Records what an answer of the endpoint states about further calls. Precondition: index is below the number of endpoints of definition().
+    void recordAvailability(std::uint32_t index, const endpoint_availability &stated, mono_time now) const;
+
+    /// Returns when the first endpoint ends its rest, if no endpoint may take a request before; nothing when one may, or when all are leaving. The cost grows
+    /// with the number of endpoints.
+    std::optional<mono_time> firstRestEnd(mono_time now) const;
+
     /// Records the result of a probe. Precondition: index is below the number of endpoints of definition().
     void probeEnded(std::uint32_t index, probe_end end, mono_time now) const;
 
@@ -135,8 +147,8 @@
     /// Returns the totals of the pool's endpoints in a data centre as this instance observes them. The cost grows with the number of endpoints.
     pool_totals facts(const data_centre_id &centre, mono_time now) const;
 
-    /// Returns the endpoints that this instance learned at since or later to be leaving, except those that the pool table marks as leaving. The cost
-    /// grows with the number of endpoints. Precondition: since is later than the clock's epoch.
+    /// Returns the endpoints that this instance learned at since or later to be leaving, except those that the pool table marks as leaving and those from
+    /// discovery that have said so themselves. The cost grows with the number of endpoints. Precondition: since is later than the clock's epoch.
     std::vector<leaving_notice> leavingSince(mono_time since, mono_time now) const;
 
     /// Returns the pool's state, for metrics and tests.
@@ -147,6 +159,8 @@
 
 private:
     static std::shared_ptr<endpoint_state> stateFor(const endpoint &member, const pool_balancer *previous, mono_time now);
+    std::shared_ptr<endpoint_state> departed(const endpoint &member) const;
+    void keepDeparted(const pool_balancer &previous, mono_time now);
     bool isDataCentreUnhealthy(std::uint32_t index, mono_time now) const;
     void countCall(const call_profile &call, mono_time now) const;
     bool drawRepeat(const call_profile &call, mono_time now) const;
@@ -156,6 +170,7 @@
     std::shared_ptr<const selection_policy> m_policy;
     std::shared_ptr<pool_state> m_state;
     std::vector<std::shared_ptr<endpoint_state>> m_endpoints;
+    std::vector<std::shared_ptr<endpoint_state>> m_departed; // endpoints that are not in the table any more, but whose word holds if they come back
     std::vector<std::uint32_t> m_members; // indices of the endpoints that this instance calls, ascending
     std::vector<distance> m_distances; // of all endpoints, by index
     unsigned m_instances;
--- a/src/balance/candidate_sampler.cpp
+++ b/src/balance/candidate_sampler.cpp
@@ -56,7 +56,7 @@
     }
     switch (fitnessOf(state, m_now)) {
     case fitness::Fit:
-        return true;
+        return rules.acceptEjected || m_randomFraction < returnShare(state, m_now);
     case fitness::Ramping:
         return rules.acceptEjected || rules.acceptRamping || m_randomFraction < rampShare(state, m_now) * kRampingChanceFactor / static_cast<double>(m_wanted);
     case fitness::Trial:
@@ -64,6 +64,7 @@
     case fitness::Ejected:
         return rules.acceptEjected;
     case fitness::Unreachable:
+    case fitness::Resting:
     case fitness::Leaving:
         return false;
     }
--- a/src/balance/endpoint_health.cpp
+++ b/src/balance/endpoint_health.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
 constexpr std::chrono::nanoseconds kForcedTrialDelay = 5s;
 constexpr std::int64_t kSlowTrialRatio = 3; // multiple of the pool's median latency
+constexpr std::chrono::nanoseconds kReturnDuration = 2s; // over which an endpoint takes on its part of the calls after a rest
+constexpr double kMinReturnShare = 0.1;
 
 bool isUnreachable(const endpoint_state &state)
 {
@@ -57,6 +59,9 @@
     if (state.leavingSinceNs.load(kRelaxed) != 0) {
         return fitness::Leaving;
     }
+    if (nowNs < state.restUntilNs.load(kRelaxed)) {
+        return fitness::Resting;
+    }
     if (const auto until = state.ejectedUntilNs.load(kRelaxed); until != 0) {
         if (nowNs >= until) {
             return fitness::Trial;
@@ -73,6 +78,19 @@
     return fit == fitness::Ejected || fit == fitness::Unreachable || fit == fitness::Trial;
 }
 
+bool mayTakeRequests(const endpoint_state &state, mono_time now)
+{
+    const auto fit = fitnessOf(state, now);
+    return fit != fitness::Leaving && fit != fitness::Resting;
+}
+
+double returnShare(const endpoint_state &state, mono_time now)
+{
+    const auto restEnd = state.restUntilNs.load(kRelaxed);
+    const auto age = static_cast<double>(now.time_since_epoch().count() - restEnd);
+    return restEnd == 0 ? 1 : std::clamp(age / static_cast<double>(kReturnDuration.count()), kMinReturnShare, 1.0);
+}
+
 double rampShare(const endpoint_state &state, mono_time now)
 {
     const auto start = state.rampStartNs.load(kRelaxed);
@@ -172,6 +190,20 @@
     }
 }
 
+void recordAvailability(endpoint_state &state, const endpoint_availability &stated, mono_time now)
+{
+    if (stated.isLeaving) {
+        state.hasSaidLeaving.store(true, kRelaxed);
+        recordLeaving(state, now);
+    }
+    if (stated.rest <= std::chrono::milliseconds::zero()) {
+        return;
+    }
+    const auto end = (now + std::min<std::chrono::nanoseconds>(stated.rest, kMaxRest)).time_since_epoch().count();
+    auto known = state.restUntilNs.load(kRelaxed);
+    while (known < end && !state.restUntilNs.compare_exchange_weak(known, end, kRelaxed)) { }
+}
+
 void recordLeaving(endpoint_state &state, mono_time now)
 {
     std::int64_t never = 0;
--- a/src/balance/endpoint_health.h
+++ b/src/balance/endpoint_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/attempt.h"
+#include "sequoiawharf/endpoint_availability.h"
 #include "sequoiawharf/endpoint_state.h"
 #include "sequoiawharf/probe_choice.h"
 
@@ -18,6 +19,7 @@
     Trial, ///< Its ejection has ended; a few trial calls decide whether it returns.
     Ejected,
     Unreachable, ///< Ejected because it could not be reached.
+    Resting, ///< It asked for no calls until a time that has not come.
     Leaving,
 };
 
@@ -30,6 +32,12 @@
 /// Returns the fraction of an equal part of the calls, from kMinRampShare to 1, that an endpoint in slow start gets. Thread safe.
 double rampShare(const endpoint_state &state, mono_time now);
 
+/// Returns whether the endpoint may get a request now: it is neither leaving nor resting. Thread safe.
+bool mayTakeRequests(const endpoint_state &state, mono_time now);
+
+/// Returns the fraction of an equal part of the calls, from kMinReturnShare to 1, that an endpoint gets after a rest. Thread safe.
+double returnShare(const endpoint_state &state, mono_time now);
+
 /// Returns whether a call may be the trial call of an endpoint on trial. Trial calls run one at a time. Only calls that may run twice qualify until the
 /// trial is overdue by kForcedTrialDelay; then any call does. Thread safe.
 bool mayTakeTrialCall(const endpoint_state &state, bool callMayRunTwice, mono_time now);
@@ -55,6 +63,9 @@
 /// costs little. Thread safe.
 void ejectEndpoint(endpoint_state &state, mono_time now);
 
+/// Records what an answer of the endpoint states about further calls. Of several rests the latest end holds. Thread safe.
+void recordAvailability(endpoint_state &state, const endpoint_availability &stated, mono_time now);
+
 /// Marks the endpoint as leaving, unless it is marked already. Thread safe.
 void recordLeaving(endpoint_state &state, mono_time now);
 
--- a/src/balance/evidence.cpp
+++ b/src/balance/evidence.cpp
@@ -109,6 +109,7 @@
     if (leavingNs != 0 && report.source == report_source::Probe && reportedNs - leavingNs > kMinLeavingTime.count()) {
         state.rampStartNs.store(now.time_since_epoch().count(), kRelaxed);
         state.leavingSinceNs.store(0, kRelaxed);
+        state.hasSaidLeaving.store(false, kRelaxed);
     }
     if (report.state == reported_state::Starting && state.rampStartNs.load(kRelaxed) == 0) {
         state.rampStartNs.store(std::max<std::int64_t>(1, reportedNs), kRelaxed);
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::size_t kDataCentreSample = 16; // the pool's endpoints are sampled with a stride that yields about this many
 constexpr float kUnhealthyFailureShare = 0.3F; // share of failed own attempts from which an endpoint counts as unhealthy
+constexpr std::size_t kMaxDeparted = 1024; // endpoints of a pool whose word is kept after they left the table
 constexpr double kUnhealthyShare = 0.5; // share of unhealthy endpoints from which a data centre counts as unhealthy
 
 // Divides the latency by the slowdown expected from the endpoint's load, so that the mean estimates the latency at an idle endpoint.
@@ -34,6 +35,12 @@
     state.unloadedLatencyNs.store(old == 0 ? sample : old + (sample - old) / kWeightParts, kRelaxed);
 }
 
+bool isSameProcess(const endpoint &first, const endpoint &second)
+{
+    return first.address == second.address && first.dataCentre == second.dataCentre && first.identity == second.identity
+           && first.incarnation == second.incarnation;
+}
+
 pool sorted(pool definition)
 {
     std::ranges::sort(definition.endpoints, {}, &endpoint::address);
@@ -70,6 +77,9 @@
     std::ranges::transform(m_definition.endpoints, std::back_inserter(m_endpoints), [&](const endpoint &member) {
         return stateFor(member, previous, now);
     });
+    if (previous != nullptr) {
+        keepDeparted(*previous, now);
+    }
     const auto serving = m_members.empty() ? m_endpoints.size() : m_members.size();
     std::ranges::transform(m_definition.endpoints, std::back_inserter(m_distances), [&](const endpoint &member) {
         return distanceFrom(place, member.dataCentre);
@@ -79,16 +89,22 @@
 }
 
 // Returns the state that previous holds for the endpoint, or a new one. An endpoint that the table newly marks as leaving keeps its state; one whose
-// mark is removed gets a new one.
+// mark is removed gets a new one, unless the endpoint itself has said that it is leaving. A rest is kept in any case.
 std::shared_ptr<endpoint_state> pool_balancer::stateFor(const endpoint &member, const pool_balancer *previous, mono_time now)
 {
     const auto known = previous == nullptr ? std::nullopt : previous->find(member.address);
-    const auto isSameProcess = [&](const endpoint &old) {
-        return old.dataCentre == member.dataCentre && old.identity == member.identity && old.incarnation == member.incarnation;
-    };
-    const bool isKept
-        = known && isSameProcess(previous->m_definition.endpoints[*known]) && (member.leaving || !previous->m_definition.endpoints[*known].leaving);
-    auto state = isKept ? previous->m_endpoints[*known] : std::make_shared<endpoint_state>(member, now);
+    std::shared_ptr<endpoint_state> old;
+    if (known && isSameProcess(previous->m_definition.endpoints[*known], member)) {
+        old = previous->m_endpoints[*known];
+    } else if (previous != nullptr) {
+        old = previous->departed(member);
+    }
+    const bool isMarkRemoved = known && previous->m_definition.endpoints[*known].leaving && !member.leaving;
+    const bool isKept = old && (!isMarkRemoved || old->hasSaidLeaving.load(kRelaxed));
+    auto state = isKept ? old : std::make_shared<endpoint_state>(member, now);
+    if (old && !isKept) {
+        state->restUntilNs.store(old->restUntilNs.load(kRelaxed), kRelaxed);
+    }
     if (!isKept && previous != nullptr) {
         state->rampStartNs.store(std::max<std::int64_t>(1, now.time_since_epoch().count()), kRelaxed);
     }
@@ -99,6 +115,31 @@
     return state;
 }
 
+// Returns the state of an endpoint that left the table and has come back as the same process, or null.
+std::shared_ptr<endpoint_state> pool_balancer::departed(const endpoint &member) const
+{
+    const auto found = std::ranges::find_if(m_departed, [&](const auto &state) {
+        return isSameProcess(state->definition(), member);
+    });
+    return found == m_departed.end() ? nullptr : *found;
+}
+
+// Keeps the endpoints of the previous balancer that are not in the table any more and have said that they leave or rest. An entry may lapse and come back
+// while its endpoint is alive.
+void pool_balancer::keepDeparted(const pool_balancer &previous, mono_time now)
+{
+    const auto mustKeep = [&](const std::shared_ptr<endpoint_state> &state) {
+        const bool isInTable = std::ranges::find(m_endpoints, state) != m_endpoints.end();
+        const bool hasReturned = !isInTable && find(state->definition().address).has_value();
+        return !isInTable && !hasReturned && (state->hasSaidLeaving.load(kRelaxed) || fitnessOf(*state, now) == fitness::Resting);
+    };
+    std::ranges::copy_if(previous.m_departed, std::back_inserter(m_departed), mustKeep);
+    std::ranges::copy_if(previous.m_endpoints, std::back_inserter(m_departed), mustKeep);
+    if (m_departed.size() > kMaxDeparted) {
+        m_departed.erase(m_departed.begin(), m_departed.end() - kMaxDeparted);
+    }
+}
+
 std::optional<std::uint32_t> pool_balancer::choose(const call_profile &call, std::span<const std::uint32_t> tried, mono_time now, random_source &random) const
 {
     const auto sampling = m_policy->sampling();
@@ -135,6 +176,7 @@
 pool_balancer::probeCandidates(distance distanceClass, std::size_t count, std::span<const std::uint32_t> excluded, mono_time now, random_source &random) const
 {
     std::vector<std::uint32_t> fit;
+    std::vector<std::uint32_t> returning; // from a rest; left out of this choice unless there are no others
     std::vector<std::uint32_t> ejected;
     std::ranges::for_each(m_members, [&](std::uint32_t index) {
         if (m_distances[index] != distanceClass || std::ranges::find(excluded, index) != excluded.end()) {
@@ -144,15 +186,17 @@
         case fitness::Fit:
         case fitness::Ramping:
         case fitness::Trial:
-            return fit.push_back(index);
+            return (random.unit() < returnShare(*m_endpoints[index], now) ? fit : returning).push_back(index);
         case fitness::Ejected:
         case fitness::Unreachable:
             return ejected.push_back(index);
+        case fitness::Resting:
         case fitness::Leaving:
             return;
         }
     });
-    auto &candidates = fit.empty() ? ejected : fit;
+    auto &available = fit.empty() ? returning : fit;
+    auto &candidates = available.empty() ? ejected : available;
     const auto wanted = std::min(count, candidates.size());
     for (std::size_t i = 0; i < wanted; ++i) {
         std::swap(candidates[i], candidates[i + random.below(static_cast<std::uint32_t>(candidates.size() - i))]);
@@ -161,6 +205,30 @@
     return candidates;
 }
 
+bool pool_balancer::mayTakeRequests(std::uint32_t index, mono_time now) const
+{
+    return sequoiawharf::mayTakeRequests(*m_endpoints[index], now);
+}
+
+void pool_balancer::recordAvailability(std::uint32_t index, const endpoint_availability &stated, mono_time now) const
+{
+    sequoiawharf::recordAvailability(*m_endpoints[index], stated, now);
+}
+
+std::optional<mono_time> pool_balancer::firstRestEnd(mono_time now) const
+{
+    std::optional<std::int64_t> firstNs;
+    const bool mayNoneServe = std::ranges::none_of(m_members, [&](std::uint32_t index) {
+        const auto &state = *m_endpoints[index];
+        if (fitnessOf(state, now) == fitness::Resting) {
+            const auto endNs = state.restUntilNs.load(kRelaxed);
+            firstNs = std::min(firstNs.value_or(endNs), endNs);
+        }
+        return sequoiawharf::mayTakeRequests(state, now);
+    });
+    return mayNoneServe && firstNs ? std::optional(mono_time(std::chrono::nanoseconds(*firstNs))) : std::nullopt;
+}
+
 void pool_balancer::probeEnded(std::uint32_t index, probe_end end, mono_time now) const
 {
     recordProbe(*m_endpoints[index], end, now);
@@ -259,7 +327,9 @@
     std::vector<leaving_notice> notices;
     std::ranges::for_each(m_endpoints, [&](const auto &state) {
         const mono_time learned(std::chrono::nanoseconds(state->leavingSinceNs.load(kRelaxed)));
-        if (learned >= since && !state->isLeavingInTable.load(kRelaxed)) {
+        // Only endpoints from discovery have an identity, and discovery tells all instances of those that leave.
+        const bool isToldByDiscovery = state->hasSaidLeaving.load(kRelaxed) && !state->definition().identity.empty();
+        if (learned >= since && !state->isLeavingInTable.load(kRelaxed) && !isToldByDiscovery) {
             notices.push_back({m_definition.name, state->definition().address, std::chrono::duration_cast<std::chrono::milliseconds>(now - learned)});
         }
     });
--- a/src/balance/pool_review.cpp
+++ b/src/balance/pool_review.cpp
@@ -45,6 +45,7 @@
     if (since != 0 && now.time_since_epoch().count() - since > kLeavingExpiry.count() && !state.isLeavingInTable.load(kRelaxed)) {
         ejectEndpoint(state, now);
         state.leavingSinceNs.store(0, kRelaxed);
+        state.hasSaidLeaving.store(false, kRelaxed);
     }
 }
 
--- a/src/balance/pool_watch.cpp
+++ b/src/balance/pool_watch.cpp
@@ -18,14 +18,21 @@
 constexpr std::uint32_t kLimitChangeParts = 4; // a change of the limit by at least a quarter is an event
 
 /// The status of an endpoint that the time line shows.
-enum class serving_status { Serving, Ejected, Leaving };
+enum class serving_status { Serving, Ejected, Resting, Leaving };
 
 serving_status statusOf(const endpoint_state &state, mono_time now)
 {
     if (isEjected(state, now)) {
         return serving_status::Ejected;
     }
-    return fitnessOf(state, now) == fitness::Leaving ? serving_status::Leaving : serving_status::Serving;
+    switch (fitnessOf(state, now)) {
+    case fitness::Resting:
+        return serving_status::Resting;
+    case fitness::Leaving:
+        return serving_status::Leaving;
+    default:
+        return serving_status::Serving;
+    }
 }
 
 event_kind kindOf(serving_status status)
@@ -33,6 +40,8 @@
     switch (status) {
     case serving_status::Ejected:
         return event_kind::EndpointEjected;
+    case serving_status::Resting:
+        return event_kind::EndpointResting;
     case serving_status::Leaving:
         return event_kind::EndpointLeaving;
     case serving_status::Serving:
@@ -41,14 +50,17 @@
     return event_kind::EndpointReturned;
 }
 
-std::string detailOf(const endpoint_state &state, const pool_state &pool)
+std::string detailOf(const endpoint_state &state, const pool_state &pool, mono_time now)
 {
     constexpr double kNsPerMs = 1e6;
-    return fmt::format("failure_share={:.2f} latency_ms={:.1f} median_ms={:.1f} ejections={}",
+    const auto restNs = state.restUntilNs.load(std::memory_order_relaxed) - now.time_since_epoch().count();
+    return fmt::format("failure_share={:.2f} latency_ms={:.1f} median_ms={:.1f} ejections={} rest_ms={} said_leaving={}",
                        state.failureShare.load(std::memory_order_relaxed),
                        static_cast<double>(state.latencyNs.load(std::memory_order_relaxed)) / kNsPerMs,
                        static_cast<double>(pool.medianLatencyNs.load(std::memory_order_relaxed)) / kNsPerMs,
-                       state.ejections.load(std::memory_order_relaxed));
+                       state.ejections.load(std::memory_order_relaxed),
+                       std::max<std::int64_t>(0, restNs) / static_cast<std::int64_t>(kNsPerMs),
+                       state.hasSaidLeaving.load(std::memory_order_relaxed));
 }
 
 event makeEvent(event_kind kind, const pool_balancer &balancer, std::string subject, std::string detail)
@@ -111,7 +123,7 @@
         const auto &state = balancer.at(i);
         const auto status = statusOf(state, now);
         if (status != snapshot.statuses[i]) {
-            events.push_back(makeEvent(kindOf(status), balancer, toString(endpoints[i].address), detailOf(state, pool)));
+            events.push_back(makeEvent(kindOf(status), balancer, toString(endpoints[i].address), detailOf(state, pool, now)));
             snapshot.statuses[i] = status;
         }
     }
--- a/src/call/call_ending.cpp
+++ b/src/call/call_ending.cpp
@@ -35,6 +35,8 @@
         return "deadline-too-short";
     case call_reason::NoTarget:
         return "no-target";
+    case call_reason::TargetsResting:
+        return "targets-resting";
     case call_reason::TargetRefused:
         return "target-refused";
     case call_reason::ConnectFailed:
--- a/src/call/retry_after.cpp
+++ b/src/call/retry_after.cpp
@@ -26,4 +26,11 @@
     return minDelay + milliseconds(static_cast<std::int64_t>(unit * static_cast<double>((maxDelay - minDelay).count())));
 }
 
+milliseconds retryAfterRest(std::chrono::nanoseconds untilEnd, double unit)
+{
+    const auto rest = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(untilEnd));
+    const auto spread = std::max(kMaxDelay, rest / 2);
+    return rest + milliseconds(static_cast<std::int64_t>(unit * static_cast<double>(spread.count())));
+}
+
 } // namespace sequoiawharf
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -74,10 +74,16 @@
     if (!m_watch->isRunning()) {
         return earlyEndRefusal();
     }
-    const auto reason = m_hasNoSlotInTime && step.reason == call_reason::NoTarget ? call_reason::Overloaded : step.reason;
+    auto reason = m_hasNoSlotInTime && step.reason == call_reason::NoTarget ? call_reason::Overloaded : step.reason;
+    if (step.reason == call_reason::NoTarget && m_balancer->firstRestEnd(monoNow())) {
+        reason = call_reason::TargetsResting;
+    }
     auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), reason, step.callerMayRetry);
     if (response.ending == call_ending::NotRun) {
-        response.retryAfter = retryAfter(m_profile.deadline - monoNow(), m_engine.random().unit());
+        const auto now = monoNow();
+        const auto restEnd = m_balancer->firstRestEnd(now);
+        response.retryAfter
+            = restEnd ? retryAfterRest(*restEnd - now, m_engine.random().unit()) : retryAfter(m_profile.deadline - now, m_engine.random().unit());
     }
     return response;
 }
@@ -128,6 +134,10 @@
         if (m_engine.slotQueue().isFirst(m_balancer, queueProfile)) {
             best = co_await probeEndpoints(m_probeRound);
         }
+        // Endpoints that rest are not probed, and a call that waits for them would only be late.
+        if (!best && m_balancer->firstRestEnd(monoNow())) {
+            co_return std::nullopt;
+        }
         const auto callPlacement = placeCall(best ? std::optional(best->endpoint) : std::nullopt, timing());
         if (callPlacement.decision == placement::kind::Send && best) {
             co_return best;
@@ -175,6 +185,7 @@
         });
         co_await probeByDistance(*currentRound, isLarge);
     }
+    currentRound->dropUnavailable(monoNow());
     const auto best = selectProbedEndpoint(currentRound->answers(), isLarge);
     std::optional<chosen_endpoint> chosen;
     if (best && m_watch->isRunning()) {
@@ -237,6 +248,8 @@
         .head = m_head,
         .profile = m_profile,
         .body = *m_body,
+        .pool = *m_balancer,
+        .index = index,
         .target = m_balancer->at(index).definition(),
         .dialect = m_engine.dialect(),
         .plan = m_balancer->connections(index),
@@ -325,6 +338,7 @@
     const auto now = monoNow();
     probed_endpoint freed {.index = attempt.index(), .distanceClass = m_balancer->distanceOf(attempt.index()), .load = *load};
     freed.cold = m_balancer->at(attempt.index()).definition().warmupEnd > now;
+    freed.healthy = m_balancer->mayTakeRequests(attempt.index(), now);
     m_engine.slotQueue().slotFreed(m_balancer, freed, now);
 }
 
--- a/src/shell/gateway/call_dialect.h
+++ b/src/shell/gateway/call_dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sequoiawharf/endpoint_availability.h"
 #include "sequoiawharf/probe_choice.h"
 #include "src/shell/call_stream.h"
 
@@ -34,7 +35,7 @@
     kind what = kind::Answer;
     std::optional<float> load {}; ///< Calls running on the target divided by its slots.
     std::optional<endpoint_load> state {}; ///< The target's load in detail, if reported.
-    bool leaving = false; ///< The target accepts no new work.
+    endpoint_availability availability {}; ///< What the target states about further calls.
 };
 
 /// The content of an answer to a probe.
@@ -42,6 +43,7 @@
     bool healthy = false; ///< The endpoint reports itself healthy and is not leaving.
     std::string identity {}; ///< The identity of the endpoint that answered; empty: not reported.
     std::optional<endpoint_load> load {};
+    endpoint_availability availability {}; ///< What the endpoint states about further calls.
 };
 
 /// The conventions of one deployment on top of HTTP: the header fields, statuses and probe requests by which callers, targets and the gateway exchange
--- a/src/shell/gateway/header_rules.cpp
+++ b/src/shell/gateway/header_rules.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/gateway/header_rules.h"
 
 #include "src/shell/gateway/call_dialect.h"
+#include "src/shell/net/http_status.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -110,6 +111,37 @@
     return value;
 }
 
+std::optional<std::chrono::milliseconds> parseSeconds(std::string_view text)
+{
+    constexpr std::size_t kMillisecondDigits = 3;
+    const auto point = text.find('.');
+    const auto whole = parseDecimal(text.substr(0, point));
+    auto fraction = std::string(point == std::string_view::npos ? "0" : text.substr(point + 1));
+    const bool isNumber = whole && parseDecimal(fraction);
+    fraction.resize(kMillisecondDigits, '0');
+    if (!isNumber) {
+        return std::nullopt;
+    }
+    const std::chrono::milliseconds longest = kMaxRest;
+    const auto seconds = std::min<std::uint64_t>(*whole, static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(longest).count()));
+    return std::min(longest, std::chrono::milliseconds(seconds * 1000 + parseDecimal(fraction).value_or(0)));
+}
+
+endpoint_availability readRest(unsigned status, const http::fields &fields)
+{
+    endpoint_availability stated;
+    if (status != kUnavailable && status != kTooManyRequests) {
+        return stated;
+    }
+    const auto [first, last] = fields.equal_range(http::field::retry_after);
+    std::for_each(first, last, [&](const http::fields::value_type &field) {
+        const auto rest = parseSeconds(toView(field.value()));
+        stated.rest = std::max(stated.rest, rest.value_or(std::chrono::milliseconds(0)));
+        stated.isRestUnreadable = stated.isRestUnreadable || !rest;
+    });
+    return stated;
+}
+
 std::optional<call_id> parseCallId(std::string_view text)
 {
     call_id value = 0;
--- a/src/shell/gateway/header_rules.h
+++ b/src/shell/gateway/header_rules.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sequoiawharf/endpoint_availability.h"
 #include "src/shell/call_stream.h"
 
 #include <boost/beast/http/fields.hpp>
@@ -35,6 +36,13 @@
 /// Parses a text that is a decimal number of at most 18 digits; returns nothing for any other text. Thread safe.
 std::optional<std::uint64_t> parseDecimal(std::string_view text);
 
+/// Parses a number of seconds such as "2" or "0.25", and returns at most kMaxRest. Returns nothing for any other text, a date among them. Thread safe.
+std::optional<std::chrono::milliseconds> parseSeconds(std::string_view text);
+
+/// Returns the rest that the Retry-After fields of an answer ask for, if its status turns a request away for now (429, 503). Of several fields the longest
+/// time counts, and those that are no number of seconds are ignored. Thread safe.
+endpoint_availability readRest(unsigned status, const boost::beast::http::fields &fields);
+
 /// Parses a text of exactly 16 hexadecimal digits; returns nothing for any other text. Thread safe.
 std::optional<call_id> parseCallId(std::string_view text);
 
--- a/src/shell/gateway/own_dialect.cpp
+++ b/src/shell/gateway/own_dialect.cpp
@@ -22,6 +22,13 @@
     return {value.data(), value.size()};
 }
 
+endpoint_availability readAvailability(unsigned status, const call_dialect::fields &head)
+{
+    auto stated = readRest(status, head);
+    stated.isLeaving = equalsIgnoringCase(fieldOf(head, kStateHeader), kLeavingState);
+    return stated;
+}
+
 class own_dialect : public call_dialect
 {
 public:
@@ -48,11 +55,9 @@
         appendField(out, kCallerHeader, call.caller.str());
     }
 
-    target_signals readAnswerHead(unsigned /*status*/, const fields &head, const call_head & /*call*/) const override
+    target_signals readAnswerHead(unsigned status, const fields &head, const call_head & /*call*/) const override
     {
-        return {.what = target_signals::kind::Answer,
-                .load = parseReportedLoad(fieldOf(head, kLoadHeader)),
-                .leaving = equalsIgnoringCase(fieldOf(head, kStateHeader), kLeavingState)};
+        return {.what = target_signals::kind::Answer, .load = parseReportedLoad(fieldOf(head, kLoadHeader)), .availability = readAvailability(status, head)};
     }
 
     void appendAnswerFields(std::string &out, const answer_head &answer, call_id id, std::string_view /*label*/) const override
@@ -81,7 +86,8 @@
 
     std::optional<probe_signals> readProbe(unsigned status, const fields &head) const override
     {
-        probe_signals signals {.healthy = status == kOk && !equalsIgnoringCase(fieldOf(head, kStateHeader), kLeavingState)};
+        probe_signals signals {.availability = readAvailability(status, head)};
+        signals.healthy = status == kOk && !signals.availability.isLeaving;
         if (const auto utilisation = parseReportedLoad(fieldOf(head, kLoadHeader))) {
             // The field states a fraction; it is expressed as running calls over 1000 slots to keep three decimal places.
             constexpr std::uint32_t kParts = 1000;
--- a/src/shell/gateway/probe_round.cpp
+++ b/src/shell/gateway/probe_round.cpp
@@ -95,6 +95,10 @@
         m_connections.discard(std::move(connection));
         co_return finishProbe(current, probe_end::Unreachable, answer, nullptr);
     }
+    if (!m_pool->mayTakeRequests(current.endpoint, monoNow())) {
+        m_connections.discard(std::move(connection));
+        co_return finishProbe(current, probe_end::Unhealthy, answer, nullptr);
+    }
     const auto end = co_await exchange(*connection, current, answer);
     if (!end) {
         m_connections.discard(std::move(connection));
@@ -123,6 +127,10 @@
         current.connection = nullptr;
         co_return std::nullopt;
     }
+    const bool isOther = !target.identity.empty() && !signals->identity.empty() && signals->identity != target.identity;
+    if (!isOther) {
+        m_pool->recordAvailability(current.endpoint, signals->availability, monoNow());
+    }
     std::array<char, kProbeReadBytes> ignored {};
     message_awaitable<std::size_t>::value_type count = std::size_t {1};
     std::size_t bodyBytes = 0;
@@ -143,7 +151,6 @@
     answer.cold = target.warmupEnd > connection.lastAnswer;
     answer.load = signals->load.value_or(
         endpoint_load {.running = m_pool->at(current.endpoint).inFlight.load(std::memory_order_relaxed), .slots = std::max(1U, m_pool->definition().slots)});
-    const bool isOther = !target.identity.empty() && !signals->identity.empty() && signals->identity != target.identity;
     co_return isOther ? probe_end::OtherTarget : (signals->healthy ? probe_end::Healthy : probe_end::Unhealthy);
 }
 
@@ -190,6 +197,13 @@
     m_waitTimer.cancel();
 }
 
+void probe_round::dropUnavailable(mono_time now)
+{
+    std::ranges::for_each(m_answers, [&](probed_endpoint &answer) {
+        answer.healthy = answer.healthy && m_pool->mayTakeRequests(answer.index, now);
+    });
+}
+
 connection_ptr probe_round::takeConnection(std::size_t answerIndex)
 {
     return std::move(m_answerConnections[answerIndex]);
--- a/src/shell/gateway/probe_round.h
+++ b/src/shell/gateway/probe_round.h
@@ -34,6 +34,9 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds waitIfHealthy, std::chrono::milliseconds maxWait);
 
     /// Ends a pending wait() and every later one at once.
+    /// Marks answers of endpoints that have asked for no requests since they answered as unhealthy.
+    void dropUnavailable(mono_time now);
+
     void cancel();
 
     /// Returns the answers so far, of healthy and unhealthy endpoints.
--- a/src/shell/gateway/refusal.cpp
+++ b/src/shell/gateway/refusal.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr unsigned kBadRequest = 400;
-constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -31,6 +30,8 @@
         return "the call cannot end before its deadline";
     case call_reason::NoTarget:
         return "no target of the pool can take the call";
+    case call_reason::TargetsResting:
+        return "all targets of the pool have asked for a rest";
     case call_reason::TargetRefused:
         return "the target refused the call";
     case call_reason::ConnectFailed:
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -1,6 +1,6 @@
 #include "src/shell/gateway/target_exchange.h"
 
-#include "sequoiawharf/pool_table.h"
+#include "sequoiawharf/pool_balancer.h"
 #include "src/shell/gateway/call_dialect.h"
 #include "src/shell/gateway/head_format.h"
 #include "src/shell/gateway/header_rules.h"
@@ -129,6 +129,10 @@
         if (m_isCancelled || !co_await m_connections.open(*m_connection, m_terms.target.address)) {
             co_return fail(attempt_end::ConnectFailed);
         }
+        // Opening a connection takes up to half a second, in which another call may have learned that the endpoint wants no requests.
+        if (!m_terms.pool.mayTakeRequests(m_terms.index, monoNow())) {
+            co_return fail(attempt_end::Refused);
+        }
     }
     m_connections.warmUp(m_terms.target.address, m_terms.plan, executor, now);
     m_reader.emplace(m_connection->socket, m_connection->buffer, m_terms.headerBytes);
@@ -251,10 +255,18 @@
     m_outcome.end = fields.result_int() >= kFirstServerError ? attempt_end::ServerError : attempt_end::Answered;
     m_outcome.reportedLoad = signals.load;
     m_load = signals.state;
-    m_outcome.targetLeaving = signals.leaving;
+    m_outcome.targetLeaving = signals.availability.isLeaving;
+    recordAvailability(signals.availability);
     return true;
 }
 
+// Recorded as soon as the head has arrived, since other calls may choose the endpoint before the body is complete.
+void target_exchange::recordAvailability(const endpoint_availability &stated)
+{
+    m_terms.pool.recordAvailability(m_terms.index, stated, m_received);
+    m_metrics.countRest(stated, m_terms.target.address);
+}
+
 answer_head target_exchange::head() const
 {
     answer_head result;
--- a/src/shell/gateway/target_exchange.h
+++ b/src/shell/gateway/target_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/attempt.h"
+#include "sequoiawharf/endpoint_availability.h"
 #include "sequoiawharf/probe_choice.h"
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/call_watch.h"
@@ -16,6 +17,7 @@
 {
 
 class call_dialect;
+class pool_balancer;
 class request_body;
 struct endpoint;
 
@@ -24,6 +26,8 @@
     const call_head &head;
     const call_profile &profile;
     request_body &body;
+    const pool_balancer &pool;
+    std::uint32_t index; ///< Of the target in the pool.
     const endpoint &target;
     const call_dialect &dialect;
     connection_plan plan;
@@ -98,6 +102,7 @@
     bool fail(attempt_end end);
     bool failReading(const message_fault &fault);
     bool readSignals();
+    void recordAvailability(const endpoint_availability &stated);
     bool isReusable();
 
     exchange_terms m_terms;
--- a/src/shell/metrics/gateway_metrics.cpp
+++ b/src/shell/metrics/gateway_metrics.cpp
@@ -1,8 +1,11 @@
 #include "src/shell/metrics/gateway_metrics.h"
 
+#include "src/shell/net/log.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <bit>
 #include <iterator>
 #include <numeric>
 
@@ -106,6 +109,19 @@
     bytes[static_cast<std::size_t>(direction)].fetch_add(count, std::memory_order_relaxed);
 }
 
+void thread_metrics::countRest(const endpoint_availability &stated, const host_port &endpoint)
+{
+    rests.fetch_add(stated.rest.count() > 0 ? 1 : 0, std::memory_order_relaxed);
+    if (!stated.isRestUnreadable) {
+        return;
+    }
+    // The first, second, fourth and so on, so that one endpoint cannot fill the log.
+    const auto count = unreadableRests.fetch_add(1, std::memory_order_relaxed) + 1;
+    if (std::has_single_bit(count)) {
+        logTo(log_level::Warning, "gateway", "Ignored a Retry-After that is no number of seconds. endpoint={} ignored={}", toString(endpoint), count);
+    }
+}
+
 gateway_metrics::gateway_metrics(unsigned threads)
 {
     std::generate_n(std::back_inserter(m_threads), threads, [] {
@@ -125,6 +141,13 @@
     printSum(out, m_threads, "sequoiawharf_relays_total", "counter", "Calls carried to another region.", &thread_metrics::relays);
     printSum(out, m_threads, "sequoiawharf_target_connections_opened_total", "counter", "Connections opened to targets.", &thread_metrics::connectionsOpened);
     printSum(out, m_threads, "sequoiawharf_target_connections_closed_total", "counter", "Connections to targets closed.", &thread_metrics::connectionsClosed);
+    printSum(out, m_threads, "sequoiawharf_endpoint_rests_total", "counter", "Answers by which an endpoint asked for a rest.", &thread_metrics::rests);
+    printSum(out,
+             m_threads,
+             "sequoiawharf_endpoint_rests_unreadable_total",
+             "counter",
+             "Answers that asked for a rest without a readable time.",
+             &thread_metrics::unreadableRests);
     printHead(out, "sequoiawharf_added_seconds", "summary", "Time added to calls: total less the target's. Quantiles of the last complete window.");
     for (std::size_t thread = 0; thread < m_threads.size(); ++thread) {
         for (std::size_t i = 0; i < kRouteClassCount; ++i) {
--- a/src/shell/metrics/gateway_metrics.h
+++ b/src/shell/metrics/gateway_metrics.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "sequoiawharf/call_ending.h"
+#include "sequoiawharf/endpoint_availability.h"
+#include "sequoiawharf/ids.h"
 #include "sequoiawharf/route_table.h"
 #include "src/shell/metrics/added_time.h"
 
@@ -32,6 +34,8 @@
     std::atomic<std::uint64_t> relays {0};
     std::atomic<std::uint64_t> connectionsOpened {0};
     std::atomic<std::uint64_t> connectionsClosed {0};
+    std::atomic<std::uint64_t> rests {0}; ///< Answers by which an endpoint asked for a rest.
+    std::atomic<std::uint64_t> unreadableRests {0}; ///< Answers that asked for a rest without a readable time.
     std::atomic<std::int64_t> callsInFlight {0};
     std::atomic<std::int64_t> callerConnections {0};
     std::array<added_time, kRouteClassCount> addedTime;
@@ -39,6 +43,9 @@
     /// Counts a call that ended. Runs on the owning thread.
     void countEnding(call_ending ending, call_reason reason);
 
+    /// Counts a rest that the endpoint's answer asked for, if it did, and logs unreadable ones, the more of them the rarer. Runs on the owning thread.
+    void countRest(const endpoint_availability &stated, const host_port &endpoint);
+
     /// Counts transferred bytes. Runs on the owning thread.
     void countBytes(byte_direction direction, std::uint64_t count);
 };
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/peer/peer_node.h"
 
+#include "src/shell/net/http_status.h"
 #include "src/shell/net/log.h"
 #include "src/shell/net/pause.h"
 #include "src/wire/codec.h"
@@ -29,7 +30,6 @@
 constexpr std::uint64_t kControlBytesPerSecond = 20'000;
 constexpr std::size_t kMaxPushBytes = 16U << 10U; ///< Instances that lack a larger change request it themselves.
 constexpr unsigned kBadRequest = 400;
-constexpr unsigned kTooManyRequests = 429;
 
 membership_settings toMembershipSettings(const peer_node_parts &parts)
 {
--- a/src/timeline/event.cpp
+++ b/src/timeline/event.cpp
@@ -22,6 +22,8 @@
         return "endpoint-returned";
     case event_kind::EndpointLeaving:
         return "endpoint-leaving";
+    case event_kind::EndpointResting:
+        return "endpoint-resting";
     case event_kind::LimitChanged:
         return "limit-changed";
     case event_kind::PanicModeChanged:
--- a/tests/gateway/pool_test.cpp
+++ b/tests/gateway/pool_test.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(hedgeUsesNoUnprovenIdleConnection);
     CPPUNIT_TEST(nonIdempotentCallReplacesAnIdleConnection);
     CPPUNIT_TEST(anEndpointThatAsksForRestGetsNoCalls);
+    CPPUNIT_TEST(callsAreRefusedAtOnceWhenAllEndpointsRest);
+    CPPUNIT_TEST(aRestInTheAnswerToAProbeHolds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +191,7 @@
     {
         constexpr milliseconds kRest {2000};
         constexpr milliseconds kGrace {500};
+        std::atomic<bool> isResting {false};
         std::atomic<std::int64_t> firstAnswerMs {0};
         std::atomic<int> lateRequests {0};
         const auto nowMs = [] {
@@ -196,8 +199,12 @@
         };
         const fake_target resting([&](target_peer &peer) {
             while (!peer.readRequest().empty()) {
-                std::int64_t none = 0;
-                const auto sinceFirst = firstAnswerMs.compare_exchange_strong(none, nowMs()) ? 0 : nowMs() - none;
+                if (!isResting) {
+                    peer.answer("x");
+                    continue;
+                }
+                std::int64_t first = 0;
+                const auto sinceFirst = firstAnswerMs.compare_exchange_strong(first, nowMs()) ? 0 : nowMs() - first;
                 lateRequests += sinceFirst > kGrace.count() && sinceFirst < kRest.count() ? 1 : 0;
                 peer.answer("", "503 Service Unavailable", "Retry-After: 2\r\n");
             }
@@ -206,23 +213,75 @@
         gateway_rig rig({&resting, &serving}, nullptr, 2);
         rig.targetPool.maxConnections = 250;
         rig.start();
-        std::vector<std::thread> callers;
         std::atomic<int> unanswered {0};
-        callers.reserve(4);
-        for (int i = 0; i < 4; ++i) {
-            callers.emplace_back([&] {
-                test_caller caller(rig.address());
-                const auto until = std::chrono::steady_clock::now() + kRest - milliseconds(100);
-                while (std::chrono::steady_clock::now() < until) {
-                    unanswered += caller.call("POST", "/", "x").ending() == "answered" ? 0 : 1;
-                    std::this_thread::sleep_for(milliseconds(2));
-                }
-            });
-        }
-        std::ranges::for_each(callers, &std::thread::join);
+        const auto callFor = [&](milliseconds time) {
+            std::vector<std::thread> callers;
+            callers.reserve(4);
+            for (int i = 0; i < 4; ++i) {
+                callers.emplace_back([&] {
+                    test_caller caller(rig.address());
+                    const auto until = std::chrono::steady_clock::now() + time;
+                    while (std::chrono::steady_clock::now() < until) {
+                        unanswered += caller.call("GET", "/").ending() == "answered" ? 0 : 1;
+                        std::this_thread::sleep_for(milliseconds(2));
+                    }
+                });
+            }
+            std::ranges::for_each(callers, &std::thread::join);
+        };
+        callFor(milliseconds(200)); // earns the retries for the calls that the endpoint turns away
         CPPUNIT_ASSERT(resting.runs() > 0);
-        CPPUNIT_ASSERT_EQUAL(0, unanswered.load());
+        isResting = true;
+        callFor(kRest - milliseconds(100));
+        CPPUNIT_ASSERT(firstAnswerMs > 0);
         CPPUNIT_ASSERT_EQUAL(0, lateRequests.load());
+        CPPUNIT_ASSERT_EQUAL(0, unanswered.load());
+    }
+
+    // Guards against calls that wait until their deadline for endpoints that will not take them.
+    void callsAreRefusedAtOnceWhenAllEndpointsRest()
+    {
+        const auto script = [](target_peer &peer) {
+            while (!peer.readRequest().empty()) {
+                peer.answer("", "503 Service Unavailable", "Retry-After: 0.9\r\nRetry-After: soon\r\n");
+            }
+        };
+        const fake_target first(script);
+        const fake_target second(script);
+        gateway_rig rig({&first, &second});
+        test_caller caller(rig.address());
+        CPPUNIT_ASSERT(eventually([&] {
+            return caller.call("POST", "/", "x").reason() == "targets-resting";
+        }));
+        const auto runs = first.runs() + second.runs();
+        const auto begun = std::chrono::steady_clock::now();
+        const auto refused = caller.call("POST", "/", "x");
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), refused.ending());
+        CPPUNIT_ASSERT_EQUAL(std::string("targets-resting"), refused.reason());
+        CPPUNIT_ASSERT_EQUAL(runs, first.runs() + second.runs());
+        CPPUNIT_ASSERT(rig.metrics().forThread(0).rests == 2 && rig.metrics().forThread(0).unreadableRests == 2);
+    }
+
+    // Guards against calls and further probes to an endpoint whose answer to a probe has asked for a rest.
+    void aRestInTheAnswerToAProbeHolds()
+    {
+        const fake_target target([](target_peer &peer) {
+            while (!peer.readRequest().empty()) {
+                peer.answer("", "503 Service Unavailable", "Retry-After: 5\r\n");
+            }
+        });
+        gateway_rig rig({&target});
+        rig.settings.probing.count = 1;
+        rig.targetPool.probePath = "/health";
+        rig.start();
+        test_caller caller(rig.address());
+        for (int i = 0; i < 5; ++i) {
+            const auto begun = std::chrono::steady_clock::now();
+            CPPUNIT_ASSERT_EQUAL(std::string("targets-resting"), caller.call("GET", "/").reason());
+            CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < milliseconds(500));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, target.runs());
     }
 };
 
