Send no new calls to an endpoint whose answer says that it leaves

The platform's endpoints state in every answer that they leave (Server-Leaving: 1), before discovery tells it. The field was not read, so that an instance went on calling such an endpoint until the entry changed, up to the drain bound and beyond for endpoints that never report it. From the head of such an answer on (of a call, an error, a probe) this instance sends nothing new to that process; a removed mark or an entry that lapses and comes back does not take the word back, a new process at the address starts without it. Other instances learn from discovery: notices between instances would cost bytes for the same word.

--- a/tests/balance/availability_test.cpp
+++ b/tests/balance/availability_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(callsComeBackGraduallyAfterARest);
     CPPUNIT_TEST(theFirstEndIsKnownWhenAllRest);
     CPPUNIT_TEST(aRestOutlivesChangesOfTheTable);
+    CPPUNIT_TEST(whoeverHasSaidThatItLeavesStaysOut);
     CPPUNIT_TEST(callersThatFoundAllRestingReturnSpread);
     CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +121,31 @@
         CPPUNIT_ASSERT_MESSAGE("another process", rig.balancer().mayTakeRequests(0, rig.now));
     }
 
+    // Guards against calls to an endpoint that has said that it leaves, after discovery has told an older state of it.
+    void whoeverHasSaidThatItLeavesStaysOut()
+    {
+        pool_rig rig(4);
+        const auto whole = withIdentities(rig);
+        rig.reconfigure(whole);
+        rig.balancer().recordAvailability(0, {.isLeaving = true}, rig.now);
+        auto marked = whole;
+        marked.endpoints[0].leaving = true;
+        rig.reconfigure(marked);
+        rig.reconfigure(whole);
+        CPPUNIT_ASSERT(!rig.balancer().mayTakeRequests(0, rig.now));
+        auto without = whole;
+        without.endpoints.erase(without.endpoints.begin());
+        rig.reconfigure(without);
+        rig.now += 30s;
+        rig.reconfigure(whole);
+        CPPUNIT_ASSERT_EQUAL(0U, rig.run(200, 10ms, quickAnswer)[0]);
+        CPPUNIT_ASSERT(!isProbed(rig, 0));
+        auto reborn = whole;
+        reborn.endpoints[0].incarnation = 2;
+        rig.reconfigure(reborn);
+        CPPUNIT_ASSERT_MESSAGE("another process", rig.balancer().mayTakeRequests(0, rig.now));
+    }
+
     void callersThatFoundAllRestingReturnSpread()
     {
         CPPUNIT_ASSERT(retryAfterRest(2s, 0) == 2s && retryAfterRest(2s, 1) == 3s);
