--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <ranges>
 
 namespace sequoiawharf
 {
