--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -41,6 +41,13 @@
            && first.incarnation == second.incarnation;
 }
 
+// Returns whether an endpoint takes part in a choice, which it does with a growing chance after a rest.
+bool isInReturnShare(const endpoint_state &state, mono_time now, random_source &random)
+{
+    const auto share = returnShare(state, now);
+    return share >= 1 || random.unit() < share;
+}
+
 pool sorted(pool definition)
 {
     std::ranges::sort(definition.endpoints, {}, &endpoint::address);
@@ -129,9 +136,8 @@
 void pool_balancer::keepDeparted(const pool_balancer &previous, mono_time now)
 {
     const auto mustKeep = [&](const std::shared_ptr<endpoint_state> &state) {
-        const bool isInTable = std::ranges::find(m_endpoints, state) != m_endpoints.end();
-        const bool hasReturned = !isInTable && find(state->definition().address).has_value();
-        return !isInTable && !hasReturned && (state->hasSaidLeaving.load(kRelaxed) || fitnessOf(*state, now) == fitness::Resting);
+        const bool hasSaidSo = state->hasSaidLeaving.load(kRelaxed) || fitnessOf(*state, now) == fitness::Resting;
+        return hasSaidSo && !find(state->definition().address);
     };
     std::ranges::copy_if(previous.m_departed, std::back_inserter(m_departed), mustKeep);
     std::ranges::copy_if(previous.m_endpoints, std::back_inserter(m_departed), mustKeep);
@@ -186,7 +192,7 @@
         case fitness::Fit:
         case fitness::Ramping:
         case fitness::Trial:
-            return (random.unit() < returnShare(*m_endpoints[index], now) ? fit : returning).push_back(index);
+            return (isInReturnShare(*m_endpoints[index], now, random) ? fit : returning).push_back(index);
         case fitness::Ejected:
         case fitness::Unreachable:
             return ejected.push_back(index);
