--- a/include/sequoiawharf/pool_balancer.h
+++ b/include/sequoiawharf/pool_balancer.h
@@ -159,7 +159,7 @@
 
 private:
     static std::shared_ptr<endpoint_state> stateFor(const endpoint &member, const pool_balancer *previous, mono_time now);
-    std::shared_ptr<endpoint_state> departed(const endpoint &member) const;
+    std::shared_ptr<endpoint_state> findProcess(const endpoint &member) const;
     void keepDeparted(const pool_balancer &previous, mono_time now);
     bool isDataCentreUnhealthy(std::uint32_t index, mono_time now) const;
     void countCall(const call_profile &call, mono_time now) const;
--- a/include/sequoiawharf/reading_plan.h
+++ b/include/sequoiawharf/reading_plan.h
@@ -19,16 +19,14 @@
     static reading_times within(std::chrono::milliseconds leavingBound);
 };
 
-/// Times of a read of the service that waits for news.
+/// Times of a read of the service that may wait for news.
 struct poll_times {
     std::chrono::milliseconds wait; ///< Time after which the service answers although there is no news.
-    std::chrono::milliseconds answerTimeout; ///< Time beyond the wait after which a read without an answer counts as lost.
+    std::chrono::milliseconds answerTimeout; ///< Time beyond the wait after which a read without the first part of an answer counts as lost.
 
     /// Returns times with which the instance that reads for its data centre notices within the bound that its connection has fallen silent, early enough for
     /// the others to get a configuration from it within the bound. Thread safe.
     static poll_times within(std::chrono::milliseconds configurationBound);
-
-    friend bool operator==(const poll_times &, const poll_times &) = default;
 };
 
 /// Timeout of a query to another instance of the data centre. A healthy instance answers in a few milliseconds.
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -99,14 +99,8 @@
 // mark is removed gets a new one, unless the endpoint itself has said that it is leaving. A rest is kept in any case.
 std::shared_ptr<endpoint_state> pool_balancer::stateFor(const endpoint &member, const pool_balancer *previous, mono_time now)
 {
-    const auto known = previous == nullptr ? std::nullopt : previous->find(member.address);
-    std::shared_ptr<endpoint_state> old;
-    if (known && isSameProcess(previous->m_definition.endpoints[*known], member)) {
-        old = previous->m_endpoints[*known];
-    } else if (previous != nullptr) {
-        old = previous->departed(member);
-    }
-    const bool isMarkRemoved = known && previous->m_definition.endpoints[*known].leaving && !member.leaving;
+    const auto old = previous == nullptr ? nullptr : previous->findProcess(member);
+    const bool isMarkRemoved = old && old->isLeavingInTable.load(kRelaxed) && !member.leaving;
     const bool isKept = old && (!isMarkRemoved || old->hasSaidLeaving.load(kRelaxed));
     auto state = isKept ? old : std::make_shared<endpoint_state>(member, now);
     if (old && !isKept) {
@@ -122,9 +116,12 @@
     return state;
 }
 
-// Returns the state of an endpoint that left the table and has come back as the same process, or null.
-std::shared_ptr<endpoint_state> pool_balancer::departed(const endpoint &member) const
+// Returns the state of the endpoint's process, also when it has left the table and its word is kept; null when it is not known.
+std::shared_ptr<endpoint_state> pool_balancer::findProcess(const endpoint &member) const
 {
+    if (const auto index = find(member.address); index && isSameProcess(m_definition.endpoints[*index], member)) {
+        return m_endpoints[*index];
+    }
     const auto found = std::ranges::find_if(m_departed, [&](const auto &state) {
         return isSameProcess(state->definition(), member);
     });
@@ -225,12 +222,12 @@
 {
     std::optional<std::int64_t> firstNs;
     const bool mayNoneServe = std::ranges::none_of(m_members, [&](std::uint32_t index) {
-        const auto &state = *m_endpoints[index];
-        if (fitnessOf(state, now) == fitness::Resting) {
-            const auto endNs = state.restUntilNs.load(kRelaxed);
+        const auto fit = fitnessOf(*m_endpoints[index], now);
+        if (fit == fitness::Resting) {
+            const auto endNs = m_endpoints[index]->restUntilNs.load(kRelaxed);
             firstNs = std::min(firstNs.value_or(endNs), endNs);
         }
-        return sequoiawharf::mayTakeRequests(state, now);
+        return fit != fitness::Resting && fit != fitness::Leaving;
     });
     return mayNoneServe && firstNs ? std::optional(mono_time(std::chrono::nanoseconds(*firstNs))) : std::nullopt;
 }
--- a/src/balance/pool_watch.cpp
+++ b/src/balance/pool_watch.cpp
@@ -22,17 +22,20 @@
 
 serving_status statusOf(const endpoint_state &state, mono_time now)
 {
-    if (isEjected(state, now)) {
-        return serving_status::Ejected;
-    }
     switch (fitnessOf(state, now)) {
+    case fitness::Trial:
+    case fitness::Ejected:
+    case fitness::Unreachable:
+        return serving_status::Ejected;
     case fitness::Resting:
         return serving_status::Resting;
     case fitness::Leaving:
         return serving_status::Leaving;
-    default:
-        return serving_status::Serving;
+    case fitness::Fit:
+    case fitness::Ramping:
+        break;
     }
+    return serving_status::Serving;
 }
 
 event_kind kindOf(serving_status status)
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -74,16 +74,18 @@
     if (!m_watch->isRunning()) {
         return earlyEndRefusal();
     }
-    auto reason = m_hasNoSlotInTime && step.reason == call_reason::NoTarget ? call_reason::Overloaded : step.reason;
-    if (step.reason == call_reason::NoTarget && m_balancer->firstRestEnd(monoNow())) {
+    const auto now = monoNow();
+    const auto restEnd = m_balancer->firstRestEnd(now);
+    auto reason = step.reason;
+    if (reason == call_reason::NoTarget && restEnd) {
         reason = call_reason::TargetsResting;
+    } else if (reason == call_reason::NoTarget && m_hasNoSlotInTime) {
+        reason = call_reason::Overloaded;
     }
     auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), reason, step.callerMayRetry);
     if (response.ending == call_ending::NotRun) {
-        const auto now = monoNow();
-        const auto restEnd = m_balancer->firstRestEnd(now);
-        response.retryAfter
-            = restEnd ? retryAfterRest(*restEnd - now, m_engine.random().unit()) : retryAfter(m_profile.deadline - now, m_engine.random().unit());
+        const auto unit = m_engine.random().unit();
+        response.retryAfter = restEnd ? retryAfterRest(*restEnd - now, unit) : retryAfter(m_profile.deadline - now, unit);
     }
     return response;
 }
@@ -250,7 +252,6 @@
         .body = *m_body,
         .pool = *m_balancer,
         .index = index,
-        .target = m_balancer->at(index).definition(),
         .dialect = m_engine.dialect(),
         .plan = m_balancer->connections(index),
         // An earlier attempt failed or stalled, perhaps on a dead connection; the other idle connections may be dead too.
--- a/src/shell/gateway/header_rules.cpp
+++ b/src/shell/gateway/header_rules.cpp
@@ -114,17 +114,16 @@
 std::optional<std::chrono::milliseconds> parseSeconds(std::string_view text)
 {
     constexpr std::size_t kMillisecondDigits = 3;
+    constexpr std::uint64_t kMaxSeconds = std::chrono::seconds(kMaxRest).count();
     const auto point = text.find('.');
-    const auto whole = parseDecimal(text.substr(0, point));
+    const auto seconds = parseDecimal(text.substr(0, point));
     auto fraction = std::string(point == std::string_view::npos ? "0" : text.substr(point + 1));
-    const bool isNumber = whole && parseDecimal(fraction);
-    fraction.resize(kMillisecondDigits, '0');
-    if (!isNumber) {
+    if (!seconds || !parseDecimal(fraction)) {
         return std::nullopt;
     }
-    const std::chrono::milliseconds longest = kMaxRest;
-    const auto seconds = std::min<std::uint64_t>(*whole, static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(longest).count()));
-    return std::min(longest, std::chrono::milliseconds(seconds * 1000 + parseDecimal(fraction).value_or(0)));
+    fraction.resize(kMillisecondDigits, '0');
+    const std::chrono::milliseconds time = std::chrono::seconds(std::min(*seconds, kMaxSeconds)) + std::chrono::milliseconds(*parseDecimal(fraction));
+    return std::min<std::chrono::milliseconds>(time, kMaxRest);
 }
 
 endpoint_availability readRest(unsigned status, const http::fields &fields)
--- a/src/shell/gateway/probe_round.cpp
+++ b/src/shell/gateway/probe_round.cpp
@@ -95,6 +95,7 @@
         m_connections.discard(std::move(connection));
         co_return finishProbe(current, probe_end::Unreachable, answer, nullptr);
     }
+    // As before a call: the endpoint may have asked for no requests while the connection was opened.
     if (!m_pool->mayTakeRequests(current.endpoint, monoNow())) {
         m_connections.discard(std::move(connection));
         co_return finishProbe(current, probe_end::Unhealthy, answer, nullptr);
--- a/src/shell/gateway/probe_round.h
+++ b/src/shell/gateway/probe_round.h
@@ -34,11 +34,11 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds waitIfHealthy, std::chrono::milliseconds maxWait);
 
     /// Ends a pending wait() and every later one at once.
-    /// Marks answers of endpoints that have asked for no requests since they answered as unhealthy.
-    void dropUnavailable(mono_time now);
-
     void cancel();
 
+    /// Marks the answers of endpoints that leave or rest by now as unhealthy: another call may have learned so since they answered.
+    void dropUnavailable(mono_time now);
+
     /// Returns the answers so far, of healthy and unhealthy endpoints.
     std::span<const probed_endpoint> answers() const
     {
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -7,6 +7,7 @@
 #include "src/shell/gateway/request_body.h"
 #include "src/shell/metrics/gateway_metrics.h"
 #include "src/shell/net/clock.h"
+#include "src/shell/net/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <bit>
 #include <cassert>
 
 namespace sequoiawharf
@@ -27,6 +29,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+constexpr std::string_view kExchangePart = "gateway";
 constexpr std::size_t kUploadBufferBytes = 64U << 10U;
 constexpr std::size_t kReservedHeadBytes = 1024; // enough for most request heads
 constexpr unsigned kMaxInterimAnswers = 16; // of one call; a target that sends more may never send the final one
@@ -100,7 +103,7 @@
 {
     const bool hasNoAnswerByte = m_connection && m_outcome.requestMayHaveLeft && m_received == mono_time {};
     if (hasNoAnswerByte && !m_connection->isUnused && monoNow() - m_sent >= m_terms.stallTimeout) {
-        m_connections.markSuspect(m_terms.target.address, m_sent);
+        m_connections.markSuspect(target().address, m_sent);
     }
 }
 
@@ -120,13 +123,13 @@
     const auto executor = co_await asio::this_coro::executor;
     auto profile = m_terms.profile;
     profile.idempotent = profile.idempotent && !m_terms.requiresRecentAnswer;
-    m_connection = m_connections.acquireIdle(m_terms.target.address, profile, now);
+    m_connection = m_connections.acquireIdle(target().address, profile, now);
     if (!m_connection) {
-        m_connection = m_connections.make(m_terms.target.address, executor, now);
+        m_connection = m_connections.make(target().address, executor, now);
         const call_watch::scope closing(m_watch, [this] {
             m_connection->close();
         });
-        if (m_isCancelled || !co_await m_connections.open(*m_connection, m_terms.target.address)) {
+        if (m_isCancelled || !co_await m_connections.open(*m_connection, target().address)) {
             co_return fail(attempt_end::ConnectFailed);
         }
         // Opening a connection takes up to half a second, in which another call may have learned that the endpoint wants no requests.
@@ -134,7 +137,7 @@
             co_return fail(attempt_end::Refused);
         }
     }
-    m_connections.warmUp(m_terms.target.address, m_terms.plan, executor, now);
+    m_connections.warmUp(target().address, m_terms.plan, executor, now);
     m_reader.emplace(m_connection->socket, m_connection->buffer, m_terms.headerBytes);
     co_return true;
 }
@@ -145,7 +148,7 @@
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_terms.profile.deadline - m_sent);
     std::string text;
     text.reserve(kReservedHeadBytes);
-    appendRequestHead(text, m_terms.dialect, m_terms.head, m_terms.target.identity, remaining);
+    appendRequestHead(text, m_terms.dialect, m_terms.head, target().identity, remaining);
     m_terms.body.rewind();
     // A short body in memory is sent together with the head. Any other is sent by upload(), since the target may answer before it has read all.
     const bool isInline = m_terms.body.isHeld() && m_terms.body.held().size() <= kMaxInlineBodyBytes;
@@ -264,7 +267,24 @@
 void target_exchange::recordAvailability(const endpoint_availability &stated)
 {
     m_terms.pool.recordAvailability(m_terms.index, stated, m_received);
-    m_metrics.countRest(stated, m_terms.target.address);
+    m_metrics.rests.fetch_add(stated.rest.count() > 0 ? 1 : 0, std::memory_order_relaxed);
+    if (!stated.isRestUnreadable) {
+        return;
+    }
+    // The first, second, fourth and so on are logged, so that one endpoint cannot fill the log.
+    const auto ignored = m_metrics.unreadableRests.fetch_add(1, std::memory_order_relaxed) + 1;
+    if (std::has_single_bit(ignored)) {
+        logTo(log_level::Warning,
+              kExchangePart,
+              "Ignored a Retry-After that is no number of seconds. endpoint={} ignored={}",
+              toString(target().address),
+              ignored);
+    }
+}
+
+const endpoint &target_exchange::target() const
+{
+    return m_terms.pool.at(m_terms.index).definition();
 }
 
 answer_head target_exchange::head() const
@@ -327,8 +347,8 @@
     m_reader->shrink();
     m_connection->isUnused = false;
     m_connection->lastAnswer = m_received;
-    m_connections.recordAnswer(m_terms.target.address, m_connection->opened);
-    m_connections.returnConnection(m_terms.target.address, std::move(m_connection));
+    m_connections.recordAnswer(target().address, m_connection->opened);
+    m_connections.returnConnection(target().address, std::move(m_connection));
 }
 
 std::chrono::nanoseconds target_exchange::targetTime() const
--- a/src/shell/gateway/target_exchange.h
+++ b/src/shell/gateway/target_exchange.h
@@ -27,8 +27,7 @@
     const call_profile &profile;
     request_body &body;
     const pool_balancer &pool;
-    std::uint32_t index; ///< Of the target in the pool.
-    const endpoint &target;
+    std::uint32_t index; ///< Of the endpoint in the pool.
     const call_dialect &dialect;
     connection_plan plan;
     bool requiresRecentAnswer = false; ///< Use only a new connection or one that answered recently, even for idempotent calls.
@@ -103,6 +102,7 @@
     bool failReading(const message_fault &fault);
     bool readSignals();
     void recordAvailability(const endpoint_availability &stated);
+    const endpoint &target() const;
     bool isReusable();
 
     exchange_terms m_terms;
--- a/src/shell/metrics/gateway_metrics.cpp
+++ b/src/shell/metrics/gateway_metrics.cpp
@@ -1,11 +1,8 @@
 #include "src/shell/metrics/gateway_metrics.h"
 
-#include "src/shell/net/log.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <bit>
 #include <iterator>
 #include <numeric>
 
@@ -109,19 +106,6 @@
     bytes[static_cast<std::size_t>(direction)].fetch_add(count, std::memory_order_relaxed);
 }
 
-void thread_metrics::countRest(const endpoint_availability &stated, const host_port &endpoint)
-{
-    rests.fetch_add(stated.rest.count() > 0 ? 1 : 0, std::memory_order_relaxed);
-    if (!stated.isRestUnreadable) {
-        return;
-    }
-    // The first, second, fourth and so on, so that one endpoint cannot fill the log.
-    const auto count = unreadableRests.fetch_add(1, std::memory_order_relaxed) + 1;
-    if (std::has_single_bit(count)) {
-        logTo(log_level::Warning, "gateway", "Ignored a Retry-After that is no number of seconds. endpoint={} ignored={}", toString(endpoint), count);
-    }
-}
-
 gateway_metrics::gateway_metrics(unsigned threads)
 {
     std::generate_n(std::back_inserter(m_threads), threads, [] {
--- a/src/shell/metrics/gateway_metrics.h
+++ b/src/shell/metrics/gateway_metrics.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include "sequoiawharf/call_ending.h"
-#include "sequoiawharf/endpoint_availability.h"
-#include "sequoiawharf/ids.h"
 #include "sequoiawharf/route_table.h"
 #include "src/shell/metrics/added_time.h"
 
@@ -43,9 +41,6 @@
     /// Counts a call that ended. Runs on the owning thread.
     void countEnding(call_ending ending, call_reason reason);
 
-    /// Counts a rest that the endpoint's answer asked for, if it did, and logs unreadable ones, the more of them the rarer. Runs on the owning thread.
-    void countRest(const endpoint_availability &stated, const host_port &endpoint);
-
     /// Counts transferred bytes. Runs on the owning thread.
     void countBytes(byte_direction direction, std::uint64_t count);
 };
--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -91,13 +91,7 @@
     }
     answer_parser parser;
     parser.body_limit(maxAnswerBytes);
-    bool isComplete = false;
-    if (stallTimeout) {
-        isComplete = co_await readInParts(parser, *stallTimeout, progress);
-    } else {
-        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        isComplete = !error;
-    }
+    const bool isComplete = co_await readAnswer(parser, stallTimeout, progress);
     if (!isComplete) {
         co_return tl::unexpected(http_error::Lost);
     }
@@ -105,10 +99,11 @@
     co_return http_answer {parser.get().result_int(), std::move(parser.get().body())};
 }
 
-// Reads an answer that may take any time as long as parts of it arrive. Returns whether it is complete.
-asio::awaitable<bool> http_session::readInParts(answer_parser &parser, std::chrono::milliseconds stallTimeout, std::shared_ptr<http_progress> progress)
+// Reads an answer part by part. With a stall timeout, each part that arrives extends the time. Returns whether the answer is complete.
+asio::awaitable<bool>
+http_session::readAnswer(answer_parser &parser, std::optional<std::chrono::milliseconds> stallTimeout, std::shared_ptr<http_progress> progress)
 {
-    const auto until = std::chrono::steady_clock::now() + kMaxTransferTime + stallTimeout;
+    const auto latestEnd = std::chrono::steady_clock::now() + kMaxTransferTime;
     boost::system::error_code error;
     m_buffer.reserve(kReadBufferBytes); // else a large answer takes one system call for each 512 bytes
     parser.eager(true);
@@ -118,7 +113,9 @@
         if (progress) {
             progress->lastReceived = now;
         }
-        m_stream.expires_at(std::min(until, now + stallTimeout));
+        if (stallTimeout) {
+            m_stream.expires_at(std::min(latestEnd, now + *stallTimeout));
+        }
     }
     co_return !error;
 }
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -22,7 +22,7 @@
 
 /// What has arrived of an answer so far. Used on the thread of the request.
 struct http_progress {
-    mono_time lastReceived {}; ///< When the last part arrived; the clock's epoch before the first one.
+    mono_time lastReceived {}; ///< When the last part arrived; as the owner set it before the first one.
 };
 
 /// A complete HTTP request of the control plane; calls do not use it.
@@ -35,7 +35,7 @@
     std::uint64_t maxAnswerBytes = 256U << 20U; ///< A larger answer body fails the request with Lost.
     /// Set: the timeout of the request bounds the time until the first part of the answer, and this one the time between two parts.
     std::optional<std::chrono::milliseconds> stallTimeout {};
-    std::shared_ptr<http_progress> progress {}; ///< Updated while the answer arrives, when stallTimeout is set; may be null.
+    std::shared_ptr<http_progress> progress {}; ///< Updated while the answer arrives; may be null.
 };
 
 /// A complete HTTP answer.
@@ -65,7 +65,8 @@
     using answer_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<bool> connect(std::chrono::milliseconds timeout);
-    boost::asio::awaitable<bool> readInParts(answer_parser &parser, std::chrono::milliseconds stallTimeout, std::shared_ptr<http_progress> progress);
+    boost::asio::awaitable<bool>
+    readAnswer(answer_parser &parser, std::optional<std::chrono::milliseconds> stallTimeout, std::shared_ptr<http_progress> progress);
 
     host_port m_server;
     boost::beast::tcp_stream m_stream;
