Count the time of a transfer from the first part of the answer

Found by reading the change again. The 20 s for an answer that keeps arriving counted from the request, a poll's wait included.

lateAnswerOfALongPollMayArriveInParts (21 s, beside longer tests) got no answer before and gets it now.

--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -103,7 +103,7 @@
 asio::awaitable<bool>
 http_session::readAnswer(answer_parser &parser, std::optional<std::chrono::milliseconds> stallTimeout, std::shared_ptr<http_progress> progress)
 {
-    const auto latestEnd = std::chrono::steady_clock::now() + kMaxTransferTime;
+    std::optional<mono_time> latestEnd; // counted from the first part, which a long poll may wait for
     boost::system::error_code error;
     m_buffer.reserve(kReadBufferBytes); // else a large answer takes one system call for each 512 bytes
     parser.eager(true);
@@ -114,7 +114,8 @@
             progress->lastReceived = now;
         }
         if (stallTimeout) {
-            m_stream.expires_at(std::min(latestEnd, now + *stallTimeout));
+            latestEnd = latestEnd.value_or(now + kMaxTransferTime);
+            m_stream.expires_at(std::min(*latestEnd, now + *stallTimeout));
         }
     }
     co_return !error;
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -58,7 +58,8 @@
     http_session(const boost::asio::any_io_executor &executor, host_port server);
 
     /// Sends the request, whose server is ignored, and returns its answer. Connecting is bounded by the timeout and by 1.5 s; sending and reading
-    /// together are bounded by the timeout, or by 20 s when the request has a stallTimeout. keepOpen: the connection stays open for another request.
+    /// together are bounded by the timeout; with a stallTimeout, the time from the first part of the answer is bounded by 20 s instead. keepOpen: the
+    /// connection stays open for another request.
     boost::asio::awaitable<tl::expected<http_answer, http_error>> fetch(http_request request, std::chrono::milliseconds timeout, bool keepOpen);
 
 private:
--- a/tests/instance/http_client_test.cpp
+++ b/tests/instance/http_client_test.cpp
@@ -2,9 +2,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <chrono>
+#include <string>
+#include <string_view>
+#include <thread>
 
 namespace sequoiawharf
 {
@@ -19,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(http_client_test);
     CPPUNIT_TEST(longPollFailsSoonWhenItCannotConnect);
+    CPPUNIT_TEST(lateAnswerOfALongPollMayArriveInParts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +49,32 @@
         CPPUNIT_ASSERT(!answer && answer.error() == http_error::NotSent);
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < 3s);
     }
+
+    // Guards against an answer that is cut off within its body because the wait for its first part counted towards the time of the transfer.
+    void lateAnswerOfALongPollMayArriveInParts()
+    {
+        constexpr auto kWait = 21s; // longer than the longest transfer
+        asio::io_context context;
+        asio::ip::tcp::acceptor listener(context, {asio::ip::make_address("127.16.0.4"), 0});
+        const auto port = listener.local_endpoint().port();
+        std::thread server([&] {
+            auto socket = listener.accept();
+            std::array<char, 1024> request {};
+            socket.read_some(asio::buffer(request));
+            std::this_thread::sleep_for(kWait);
+            asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst")));
+            std::this_thread::sleep_for(100ms);
+            boost::system::error_code ignored;
+            asio::write(socket, asio::buffer(std::string_view(" last")), ignored);
+        });
+        http_request request;
+        request.server = {"127.16.0.4", port};
+        request.stallTimeout = 1s;
+        const auto answer = fetchNow(request, 30s);
+        server.join();
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("first last"), answer->body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
