Review: a burst on a service that reports no load hangs the gateway thread

Cause: without a reported load the concurrency of the endpoints' entries is ignored and no freed slot reaches a waiting call, so that a burst leaves a queue that grows to 512 calls.

--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -547,10 +547,11 @@
     }
 }
 
-std::string endpoint::load()
+// Returns the header with the load, or nothing when the endpoint doesn't report it.
+std::string endpoint::loadField()
 {
     const std::lock_guard lock(m_mutex);
-    return format("%u,%u,%u", m_running, m_waiting, m_options.slots);
+    return m_options.reportsLoad ? format("Server-Load: %u,%u,%u\r\n", m_running, m_waiting, m_options.slots) : "";
 }
 
 void endpoint::serve(connection &peer)
@@ -559,13 +560,47 @@
     while (!m_isStopping && peer.read(request, false, 0) == read_end::Whole) {
         if (request.second() != "/healthz") {
             serveCall(peer, request);
-        } else if (!peer.write(
-                       format("HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", m_options.id.c_str(), load().c_str()))) {
+        } else if (!serveHealth(peer)) {
             return;
         }
     }
 }
 
+// Takes a slot, if need be after a wait in the queue. Returns false when the queue is full, the deadline passes or the connection ends.
+bool endpoint::waitForSlot(const connection &peer, std::int64_t deadlineMs)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_running >= m_options.slots && m_waiting >= m_options.queue) {
+        return false;
+    }
+    ++m_waiting;
+    while (m_running >= m_options.slots && nowMs() < deadlineMs && !m_isStopping && !peer.isClosedByPeer()) {
+        m_slotFreed.wait_for(lock, milliseconds(5));
+    }
+    --m_waiting;
+    if (m_running >= m_options.slots) {
+        return false;
+    }
+    ++m_running;
+    return true;
+}
+
+bool endpoint::serveHealth(connection &peer)
+{
+    constexpr milliseconds kHealthWork {1};
+    const auto id = format("Instance-Id: %s\r\n", m_options.id.c_str());
+    if (!m_options.reportsLoad) {
+        if (!waitForSlot(peer, INT64_MAX)) {
+            return peer.write("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n");
+        }
+        std::this_thread::sleep_for(kHealthWork);
+        const std::lock_guard lock(m_mutex);
+        --m_running;
+        m_slotFreed.notify_one();
+    }
+    return peer.write("HTTP/1.1 200 OK\r\n" + id + loadField() + "Content-Length: 0\r\n\r\n");
+}
+
 void endpoint::serveCall(connection &peer, const message &request)
 {
     const auto id = request.field("Request-Id");
@@ -574,33 +609,22 @@
     const auto deadline = arrived + (timeout.empty() ? 60'000 : std::stol(timeout));
     const auto refuse = [&](int status) {
         note(format("endpoint %s: request %s not run, status %d", m_options.id.c_str(), id.c_str(), status));
-        peer.write(format("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n",
+        peer.write(format("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n",
                           status,
                           id.c_str(),
                           m_options.id.c_str(),
-                          load().c_str()));
+                          loadField().c_str()));
     };
     const auto expected = request.field("Expected-Instance");
     if (!expected.empty() && expected != m_options.id) {
         return refuse(421);
     }
+    if (!waitForSlot(peer, deadline)) {
+        return refuse(503);
+    }
     std::size_t number = 0;
     {
-        std::unique_lock lock(m_mutex);
-        if (m_running >= m_options.slots && m_waiting >= m_options.queue) {
-            lock.unlock();
-            return refuse(503);
-        }
-        ++m_waiting;
-        while (m_running >= m_options.slots && nowMs() < deadline && !m_isStopping && !peer.isClosedByPeer()) {
-            m_slotFreed.wait_for(lock, milliseconds(5));
-        }
-        --m_waiting;
-        if (m_running >= m_options.slots) {
-            lock.unlock();
-            return refuse(503);
-        }
-        ++m_running;
+        const std::lock_guard lock(m_mutex);
         number = m_runs.size();
         m_runs.push_back({id, m_options.id, arrived, nowMs(), 0, "at work"});
     }
@@ -626,12 +650,12 @@
     if (isDropped) {
         return;
     }
-    peer.write(format("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\nContent-Length: %zu\r\n\r\n%s",
+    peer.write(format("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\n%sContent-Length: %zu\r\n\r\n%s",
                       status,
                       id.c_str(),
                       m_options.id.c_str(),
                       id.c_str(),
-                      load().c_str(),
+                      loadField().c_str(),
                       plan.body.size(),
                       plan.body.c_str()));
 }
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -188,6 +188,7 @@
     std::string zone;
     unsigned slots = 4;
     unsigned queue = 8;
+    bool reportsLoad = true; ///< Adds Server-Load to its answers; the health check is then answered at once, else it waits for a slot.
     std::function<work_plan(const message &)> plan;
 };
 
@@ -214,7 +215,9 @@
 private:
     void serve(connection &peer);
     void serveCall(connection &peer, const message &request);
-    std::string load();
+    bool serveHealth(connection &peer);
+    bool waitForSlot(const connection &peer, std::int64_t deadlineMs);
+    std::string loadField();
     void heartbeatLoop();
 
     endpoint_options m_options;
