--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -208,6 +208,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    endInstancesOnSignal();
     record file(argc > 1 ? argv[1] : "record.txt");
     theRecord = &file;
     const auto folder = makeFolder();
--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstdarg>
 #include <cstdlib>
@@ -26,6 +27,36 @@
 namespace
 {
 
+std::array<std::atomic<pid_t>, 16> runningInstances; // process ids; 0: free
+
+void rememberInstance(pid_t pid)
+{
+    for (auto &entry : runningInstances) {
+        pid_t none = 0;
+        if (entry.compare_exchange_strong(none, pid)) {
+            return;
+        }
+    }
+}
+
+void forgetInstance(pid_t pid)
+{
+    for (auto &entry : runningInstances) {
+        pid_t known = pid;
+        entry.compare_exchange_strong(known, 0);
+    }
+}
+
+void endInstancesAndExit(int /*number*/)
+{
+    for (const auto &entry : runningInstances) {
+        if (entry.load() > 0) {
+            kill(entry.load(), SIGKILL);
+        }
+    }
+    _exit(2);
+}
+
 const steady::time_point kStart = steady::now();
 constexpr std::size_t kReadBytes = 65536;
 
@@ -751,6 +782,7 @@
         kill(m_pid, SIGCONT);
         kill(m_pid, SIGKILL);
         waitpid(m_pid, nullptr, 0);
+        forgetInstance(m_pid);
     }
 }
 
@@ -786,6 +818,7 @@
     std::fflush(nullptr);
     m_pid = fork();
     if (m_pid == 0) {
+        ::signal(SIGPIPE, SIG_DFL);
         const int out = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(out, 1);
         dup2(out, 2);
@@ -797,6 +830,7 @@
         execve(program, arguments, environment);
         _exit(127);
     }
+    rememberInstance(m_pid);
     note(format("platform: started %s as process %d", host.c_str(), static_cast<int>(m_pid)));
 }
 
@@ -815,6 +849,7 @@
                         m_where.hosts[m_index].c_str(),
                         WIFEXITED(m_status) ? WEXITSTATUS(m_status) : -1,
                         WIFSIGNALED(m_status) ? WTERMSIG(m_status) : 0));
+            forgetInstance(m_pid);
             m_pid = -1;
             return true;
         }
@@ -834,6 +869,13 @@
            && answer.second() == "200";
 }
 
+void endInstancesOnSignal()
+{
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        signal(number, endInstancesAndExit);
+    }
+}
+
 bool waitUntilReady(const std::vector<std::unique_ptr<instance>> &instances, milliseconds timeout)
 {
     const auto until = nowMs() + timeout.count();
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -300,6 +300,9 @@
     int m_status = 0;
 };
 
+/// From now on, a signal that ends this program ends all instances first. Call before any is started.
+void endInstancesOnSignal();
+
 /// Waits until all instances answer 200 at their ready pages; returns whether they did.
 bool waitUntilReady(const std::vector<std::unique_ptr<instance>> &instances, milliseconds timeout);
 
