Answer every call before a planned stop ends

Cause: the stop was known to the gateway, but not to its calls. They planned with their own deadline, which lay behind the end of the process, and call_watch ended them at that deadline only. The same held for every other wait: admission, readiness, the rest of a body, a target, a hedge, a relay.

Now the stop sets a time by which calls must have ended. Each gateway thread passes it to its calls in flight; placeCall() and every attempt plan with it, so that a call which no target can answer before it is refused at once, as not run. What is left shortly before the end is answered: as not run, or as unknown if a target may have run it.

Ruled out: refusals lost when the process exits (it logged calls_cut=10), and a gateway thread that doesn't run (it answered other calls until the end).

--- a/include/sequoiawharf/attempt.h
+++ b/include/sequoiawharf/attempt.h
@@ -31,7 +31,7 @@
     Lost, ///< The connection failed after part of the request may have been sent.
     BadAnswer, ///< The answer was malformed or shorter than announced.
     TimedOut, ///< The deadline of the call passed.
-    Cancelled, ///< The caller closed its connection, or another attempt of the call answered first.
+    Cancelled, ///< The caller closed its connection, another attempt of the call answered first, or the instance stopped.
 };
 
 /// The result of one attempt, from which endpoint health, latencies and the call's ending are derived.
--- a/include/sequoiawharf/slot_wait.h
+++ b/include/sequoiawharf/slot_wait.h
@@ -14,6 +14,7 @@
     mono_time now {};
     mono_time objectiveAt {}; ///< Time until which the answer meets the route's latency objective.
     mono_time deadline {};
+    mono_time stopAt = mono_time::max(); ///< Time by which the instance must have answered all calls because it stops.
     std::chrono::nanoseconds unloadedLatency {0}; ///< Average latency of the pool's calls at an idle endpoint; 0 means unknown.
     std::size_t callsAhead = 0; ///< Calls of the pool that are already waiting on this thread.
     double slotsFreedPerSecond = 0; ///< Recent rate at which the pool's slots become free for this thread's calls; 0 means unknown.
@@ -24,7 +25,7 @@
     enum class kind {
         Send, ///< Send it to the best candidate.
         Wait, ///< Queue it until an endpoint has a slot and is neither slow nor nearly full.
-        Refuse, ///< Refuse it, because it cannot end before its deadline.
+        Refuse, ///< Refuse it, because it cannot end before its deadline or before the instance stops.
     };
 
     kind decision = kind::Send;
@@ -35,6 +36,10 @@
 /// Returns whether the endpoint is healthy and can take a call now without being slow or slowing down the calls that it is serving. Thread safe.
 bool isUncongested(const probed_endpoint &candidate);
 
+/// Returns whether a call that is sent now is expected to end before the instance stops, even if it takes longer than usual. unloadedLatency: as in
+/// call_timing. Thread safe.
+bool endsBeforeStop(mono_time stopAt, mono_time now, std::chrono::nanoseconds unloadedLatency);
+
 /// Decides whether a call is sent, queued or refused. best: the best probed candidate, if any. A nearly full endpoint serves all its calls more
 /// slowly, so under load all calls gain when each waits for an uncongested endpoint as long as it can still meet its objective or else its deadline.
 /// Thread safe.
--- a/include/sequoiawharf/stop_plan.h
+++ b/include/sequoiawharf/stop_plan.h
@@ -35,6 +35,10 @@
         return m_phase;
     }
 
+    /// Returns the time by which every call must have been answered, so that the answers are sent before the deadline of the stop. Precondition: a stop
+    /// was requested.
+    mono_time answerBy() const;
+
     /// Returns the number of calls that were cut off by the deadline; 0 before the phase is Finished.
     std::size_t cutCalls() const
     {
--- a/src/balance/slot_wait.cpp
+++ b/src/balance/slot_wait.cpp
@@ -36,14 +36,23 @@
     return candidate.healthy && expectedSlowdown(candidate) <= kMaxUncongestedSlowdown;
 }
 
+bool endsBeforeStop(mono_time stopAt, mono_time now, nanoseconds unloadedLatency)
+{
+    return now < stopAt - percentOf(unloadedLatency, kLatestStartPercent);
+}
+
 placement placeCall(const std::optional<probed_endpoint> &best, const call_timing &timing)
 {
+    // Another instance can serve the call in the time that is left to it after the stop.
+    if (timing.stopAt < timing.deadline && !endsBeforeStop(timing.stopAt, timing.now, timing.unloadedLatency)) {
+        return {.decision = placement::kind::Refuse};
+    }
     const bool isLatencyKnown = timing.unloadedLatency > nanoseconds::zero();
     if (best && (isUncongested(*best) || (!isLatencyKnown && !isFull(*best)))) {
         return {.decision = placement::kind::Send};
     }
     const auto latestOnTimeStart = timing.objectiveAt - percentOf(timing.unloadedLatency, kOnTimePercent);
-    const auto latestStart = timing.deadline - percentOf(timing.unloadedLatency, kLatestStartPercent);
+    const auto latestStart = std::min(timing.deadline, timing.stopAt) - percentOf(timing.unloadedLatency, kLatestStartPercent);
     const bool isLate = timing.now >= latestOnTimeStart;
     if (timing.now >= latestStart) {
         const bool maySend = best && !isFull(*best) && timing.now + timing.unloadedLatency < timing.deadline;
@@ -55,7 +64,7 @@
             return {.decision = placement::kind::Refuse, .isLate = isLate};
         }
     }
-    const auto waitLimit = isLate ? latestStart : latestOnTimeStart;
+    const auto waitLimit = isLate ? latestStart : std::min(latestOnTimeStart, latestStart);
     return {.decision = placement::kind::Wait, .until = std::min(waitLimit, timing.now + kReprobeInterval), .isLate = isLate};
 }
 
--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -13,6 +13,10 @@
 /// Callers may hold an answer that was on its way when the instance left the directory.
 constexpr std::chrono::milliseconds kAnswerLatency {500};
 
+/// Time before the deadline of the stop that is left for sending the last answers, and the largest part of a short stop that it takes.
+constexpr std::chrono::milliseconds kLastAnswersTime {200};
+constexpr int kLastAnswersDivisor = 10;
+
 } // namespace
 
 stop_plan::stop_plan(std::chrono::milliseconds lifetime, std::chrono::milliseconds deadline)
@@ -33,6 +37,11 @@
     m_cutAt = std::min(m_cutAt, now + kRepeatedRequestDeadline);
 }
 
+mono_time stop_plan::answerBy() const
+{
+    return m_cutAt - std::min(kLastAnswersTime, m_deadline / kLastAnswersDivisor);
+}
+
 stop_phase stop_plan::update(std::size_t inFlight, mono_time now)
 {
     if (m_phase == stop_phase::Announced && (now >= m_drainAt || now >= m_cutAt)) {
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -49,6 +49,9 @@
         if (!m_watch->isRunning() || monoNow() >= m_profile.deadline) {
             co_return co_await refuse(earlyEndRefusal());
         }
+        if (isStopTooNear()) {
+            co_return co_await refuse(stopRefusal());
+        }
         auto next = co_await nextAttempt();
         if (next && next->step == next_step::kind::Relay && canRelay()) {
             next = co_await relay();
@@ -75,6 +78,9 @@
         return earlyEndRefusal();
     }
     const auto now = monoNow();
+    if (step.reason == call_reason::NoTarget && m_hasNoSlotInTime && m_engine.callsEndBy() < m_profile.deadline) {
+        return stopRefusal();
+    }
     const auto restEnd = m_balancer->firstRestEnd(now);
     auto reason = step.reason;
     if (reason == call_reason::NoTarget && restEnd) {
@@ -118,6 +124,7 @@
     return {.now = now,
             .objectiveAt = std::min(objective, m_profile.deadline),
             .deadline = m_profile.deadline,
+            .stopAt = m_engine.callsEndBy(),
             .unloadedLatency = m_balancer->unloadedLatency(),
             .callsAhead = m_engine.slotQueue().waiting(m_balancer),
             .slotsFreedPerSecond = m_engine.slotQueue().slotsFreedPerSecond(m_balancer, now)};
@@ -442,8 +449,12 @@
     m_body->rewind();
     m_watch->start();
     recording_sink recorder(m_answer);
-    const call_watch::scope cancelling(*m_watch, [this] {
-        m_answer.abort();
+    const call_watch::scope cancelling(*m_watch, [&] {
+        if (m_watch->now() == call_watch::state::CallerGone || recorder.isStarted()) {
+            m_answer.abort();
+        } else {
+            recorder.cancelSender();
+        }
     });
     const auto outcome = co_await m_engine.relay()->relay(m_route->pool, m_head, m_profile.deadline, *m_body, recorder);
     if (outcome.result == relay_outcome::kind::Delivered || recorder.isStarted()) {
--- a/src/shell/gateway/call_engine.cpp
+++ b/src/shell/gateway/call_engine.cpp
@@ -47,6 +47,8 @@
 {
 }
 
+call_engine::~call_engine() = default;
+
 const call_dialect &call_engine::dialect() const
 {
     return m_shared.dialect;
@@ -64,10 +66,20 @@
     m_probes.setRate(fleetRate / std::max(1U, current->place().instances) / settings.threads, now);
 }
 
+void call_engine::endCallsBy(mono_time time)
+{
+    m_callsEndBy = std::min(m_callsEndBy, time);
+    std::ranges::for_each(m_calls, [&](running_call &call) {
+        call.stopAt(m_callsEndBy);
+    });
+    m_readinessChanged.notify();
+}
+
 boost::asio::awaitable<void> call_engine::handle(call_head head, body_source &body, answer_sink &answer)
 {
     const in_flight_guard inFlight(m_metrics.callsInFlight);
     call_run call(*this, head, body, answer);
+    m_calls.push_back(call);
     co_await call.run();
 }
 
--- a/src/shell/gateway/call_engine.h
+++ b/src/shell/gateway/call_engine.h
@@ -5,9 +5,12 @@
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/admission_gate.h"
 #include "src/shell/gateway/connection_pool.h"
+#include "src/shell/gateway/running_call.h"
 #include "src/shell/gateway/slot_queue.h"
 #include "src/shell/peer/async_signal.h"
 
+#include <boost/intrusive/list.hpp>
+
 namespace sequoiawharf
 {
 
@@ -21,6 +24,9 @@
 public:
     /// thread: the number of the gateway thread. Precondition: shared outlives the engine.
     call_engine(gateway_shared &shared, unsigned thread, std::uint64_t seed);
+    ~call_engine() override;
+    call_engine(const call_engine &) = delete;
+    call_engine &operator=(const call_engine &) = delete;
 
     boost::asio::awaitable<void> handle(call_head head, body_source &body, answer_sink &answer) override;
 
@@ -29,6 +35,16 @@
     /// Sets the rate of the probe budget: this thread's share of the fleet's probe rate for the endpoints of the current configuration.
     void setProbeRate(mono_time now);
 
+    /// Ends all calls, those in flight and those that arrive later, by the time, because the instance stops: each gets an answer that states whether it
+    /// may have run. A later time than one set before has no effect.
+    void endCallsBy(mono_time time);
+
+    /// Returns the time by which calls must have ended because the instance stops; mono_time::max(): it does not stop.
+    mono_time callsEndBy() const
+    {
+        return m_callsEndBy;
+    }
+
     gateway_shared &shared()
     {
         return m_shared;
@@ -78,6 +94,8 @@
     async_signal m_readinessChanged;
     relay_client *m_relay;
     random_source m_random;
+    mono_time m_callsEndBy = mono_time::max();
+    boost::intrusive::list<running_call, boost::intrusive::constant_time_size<false>> m_calls; ///< The calls in flight.
 };
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -30,7 +30,7 @@
 constexpr unsigned kPayloadTooLarge = 413;
 constexpr unsigned kRequestTimeout = 408;
 constexpr call_id kAnsweredSampleInterval = 512; // one in so many answered calls records an event; all other calls do
-constexpr std::chrono::milliseconds kNotReadyRetryAfter {100}; // another instance can take the call at once
+constexpr std::chrono::milliseconds kElsewhereRetryAfter {100}; // another instance can take the call at once
 
 } // namespace
 
@@ -64,6 +64,7 @@
     }
     m_executor = co_await asio::this_coro::executor;
     m_watch.emplace(m_executor, m_profile.deadline);
+    m_watch->stopAt(m_engine.callsEndBy());
     if (auto response = co_await holdBody()) {
         co_return co_await refuse(std::move(*response));
     }
@@ -88,16 +89,26 @@
     }
 }
 
+void call_run::stopAt(mono_time time)
+{
+    if (m_watch) {
+        m_watch->stopAt(time);
+    }
+}
+
 // Waits until the instance is ready. Returns a refusal when it does not become ready in time or the caller disconnects.
 asio::awaitable<std::optional<refusal>> call_run::waitUntilReady()
 {
     auto ready = m_engine.shared().ready.load();
-    const auto waitEnd = readinessWaitEnd(ready->unreadySince, m_head.received, m_head.callerTimeout);
+    const auto longestWaitEnd = readinessWaitEnd(ready->unreadySince, m_head.received, m_head.callerTimeout);
+    const auto waitEnd = [&] {
+        return std::min(longestWaitEnd, m_engine.callsEndBy());
+    };
     m_answer.onReceiverGone([this] {
         m_engine.readinessChanged().notify();
     });
-    while (!ready->isReady && !m_answer.isReceiverGone() && monoNow() < waitEnd) {
-        co_await m_engine.readinessChanged().wait(waitEnd);
+    while (!ready->isReady && !m_answer.isReceiverGone() && monoNow() < waitEnd()) {
+        co_await m_engine.readinessChanged().wait(waitEnd());
         ready = m_engine.shared().ready.load();
     }
     if (m_answer.isReceiverGone()) {
@@ -108,7 +119,7 @@
     }
     auto response = makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NotReady);
     response.sentence = fmt::format("this instance is not ready: {}", ready->reason);
-    response.retryAfter = kNotReadyRetryAfter;
+    response.retryAfter = kElsewhereRetryAfter;
     co_return response;
 }
 
@@ -189,7 +200,7 @@
         break;
     case stream_error::TimedOut:
         response = earlyEndRefusal();
-        response.status = kRequestTimeout;
+        response.status = response.reason == call_reason::DeadlinePassed ? kRequestTimeout : response.status;
         break;
     case stream_error::PeerGone:
         response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), call_reason::CallerGone);
@@ -198,13 +209,33 @@
     return response;
 }
 
-// Returns the refusal for a call whose deadline passed or whose caller disconnected.
+// Returns the refusal for a call whose deadline passed, whose caller disconnected or that was stopped with the instance.
 refusal call_run::earlyEndRefusal() const
 {
+    if (m_watch->now() == call_watch::state::Stopping) {
+        return stopRefusal();
+    }
     const bool isCallerGone = m_watch->now() == call_watch::state::CallerGone;
     return makeRefusal(m_engine.dialect(), m_record.failureEnding(), isCallerGone ? call_reason::CallerGone : call_reason::DeadlinePassed);
 }
 
+// Returns the refusal for a call that the instance cannot serve before it stops.
+refusal call_run::stopRefusal() const
+{
+    auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), call_reason::Stopping);
+    if (response.ending == call_ending::NotRun) {
+        response.retryAfter = kElsewhereRetryAfter;
+    }
+    return response;
+}
+
+// Returns whether the instance stops before an attempt that is started now could end, while the call's own deadline would allow it.
+bool call_run::isStopTooNear() const
+{
+    const auto stopAt = m_engine.callsEndBy();
+    return stopAt < m_profile.deadline && !endsBeforeStop(stopAt, monoNow(), m_balancer->unloadedLatency());
+}
+
 asio::awaitable<void> call_run::refuse(refusal response)
 {
     finish(response.ending, response.reason);
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -9,6 +9,7 @@
 #include "src/shell/gateway/call_watch.h"
 #include "src/shell/gateway/refusal.h"
 #include "src/shell/gateway/request_body.h"
+#include "src/shell/gateway/running_call.h"
 #include "src/shell/gateway/slot_queue.h"
 
 #include <memory>
@@ -24,16 +25,18 @@
 struct route;
 
 /// Runs one call, from its head to its single ending. Used by one coroutine and its hedge, on one thread.
-class call_run
+class call_run : public running_call
 {
 public:
     /// Precondition: all arguments outlive the object.
     call_run(call_engine &engine, call_head &head, body_source &body, answer_sink &answer);
-    ~call_run();
+    ~call_run() override;
 
     /// Runs the call to its end: exactly one answer is written, or aborted when the caller has disconnected. Precondition: called once.
     boost::asio::awaitable<void> run();
 
+    void stopAt(mono_time time) override;
+
 private:
     // Before the first attempt.
     boost::asio::awaitable<std::optional<refusal>> waitUntilReady();
@@ -42,6 +45,8 @@
     std::optional<refusal> bodyRefusal() const;
     refusal tooLargeRefusal() const;
     refusal earlyEndRefusal() const;
+    refusal stopRefusal() const;
+    bool isStopTooNear() const;
     refusal refusalFor(const next_step &step);
     bool isProbing() const;
     call_timing timing() const;
--- a/src/shell/gateway/call_watch.cpp
+++ b/src/shell/gateway/call_watch.cpp
@@ -9,9 +9,9 @@
 {
 
 struct call_watch::core {
-    core(const boost::asio::any_io_executor &executor, mono_time end)
+    core(const boost::asio::any_io_executor &executor, mono_time callDeadline)
         : timer(executor)
-        , deadline(end)
+        , deadline(callDeadline)
     {
     }
 
@@ -32,14 +32,19 @@
         if (alarm && time >= alarmTime) {
             std::exchange(alarm, {})();
         }
-        if (time >= deadline) {
-            stop(state::TimedOut);
+        if (time >= end()) {
+            stop(stopTime < deadline ? state::Stopping : state::TimedOut);
         }
     }
 
+    mono_time end() const
+    {
+        return std::min(deadline, stopTime);
+    }
+
     static void startTimer(const std::shared_ptr<core> &self)
     {
-        self->expiry = self->alarm ? std::min(self->alarmTime, self->deadline) : self->deadline;
+        self->expiry = self->alarm ? std::min(self->alarmTime, self->end()) : self->end();
         self->timer.expires_at(self->expiry);
         self->timer.async_wait([self](const boost::system::error_code &cancelled) {
             if (cancelled || self->isDestroyed || self->now != state::Running) {
@@ -54,6 +59,7 @@
 
     boost::asio::steady_timer timer;
     mono_time deadline;
+    mono_time stopTime = mono_time::max(); ///< When the call ends because the instance stops.
     mono_time expiry = mono_time::max(); ///< When the timer expires; mono_time::max(): not started.
     mono_time alarmTime;
     std::function<void()> alarm;
@@ -90,6 +96,15 @@
     m_core->stop(state::CallerGone);
 }
 
+void call_watch::stopAt(mono_time time)
+{
+    m_core->stopTime = std::min(m_core->stopTime, time);
+    const bool isStarted = m_core->expiry != mono_time::max();
+    if (isStarted && m_core->stopTime < m_core->expiry) {
+        core::startTimer(m_core);
+    }
+}
+
 void call_watch::setAlarm(mono_time time, std::function<void()> action)
 {
     m_core->alarm = std::move(action);
--- a/src/shell/gateway/call_watch.h
+++ b/src/shell/gateway/call_watch.h
@@ -10,13 +10,14 @@
 namespace sequoiawharf
 {
 
-/// Ends a call early, and cancels what it waits for, at its deadline or when its caller disconnects. Needs one timer per call. Used on one thread.
+/// Ends a call early, and cancels what it waits for, at its deadline, when its caller disconnects or when the instance stops. Needs one timer per call.
+/// Used on one thread.
 class call_watch
 {
     struct core;
 
 public:
-    enum class state { Running, TimedOut, CallerGone };
+    enum class state { Running, TimedOut, CallerGone, Stopping };
 
     call_watch(const boost::asio::any_io_executor &executor, mono_time deadline);
     ~call_watch();
@@ -36,6 +37,9 @@
     /// Ends the call early because its caller has disconnected.
     void callerGone();
 
+    /// Ends the call at the time if it is still running then, because the instance stops. A later time than one set before has no effect.
+    void stopAt(mono_time time);
+
     /// Sets an action to run once at the time, if the state is still Running then, and starts the timer. Replaces an alarm set before.
     void setAlarm(mono_time time, std::function<void()> action);
 
--- a/src/shell/gateway/gateway.cpp
+++ b/src/shell/gateway/gateway.cpp
@@ -94,9 +94,12 @@
     std::ranges::for_each(m_threads, &gateway_thread::readinessChanged);
 }
 
-void gateway::beginStop()
+void gateway::beginStop(mono_time callsEndBy)
 {
     m_shared->isStopping.store(true, std::memory_order_relaxed);
+    std::ranges::for_each(m_threads, [&](const auto &thread) {
+        thread->endCallsBy(callsEndBy);
+    });
 }
 
 std::size_t gateway::callsInFlight() const
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -55,8 +55,9 @@
     void setReady(bool ready, std::string_view why);
 
     /// Makes every answer close its connection from now on, so that callers reconnect to other instances. New connections and calls are still
-    /// served. Thread safe.
-    void beginStop();
+    /// served as far as calls can end by the time; every other call is answered by then as not run, or as unknown if a target may have run it. A later
+    /// time than that of an earlier call has no effect. Thread safe.
+    void beginStop(mono_time callsEndBy);
 
     /// Returns the number of calls that have been received and have not ended. Thread safe.
     std::size_t callsInFlight() const;
--- a/src/shell/gateway/gateway_thread.cpp
+++ b/src/shell/gateway/gateway_thread.cpp
@@ -97,6 +97,13 @@
     });
 }
 
+void gateway_thread::endCallsBy(mono_time time)
+{
+    asio::post(m_context, [this, time] {
+        m_engine.endCallsBy(time);
+    });
+}
+
 void gateway_thread::closeListener()
 {
     asio::post(m_context, [this] {
--- a/src/shell/gateway/gateway_thread.h
+++ b/src/shell/gateway/gateway_thread.h
@@ -47,6 +47,9 @@
     /// Wakes the calls that wait for the instance to become ready. Thread safe.
     void readinessChanged();
 
+    /// Ends all calls by the time, see call_engine::endCallsBy(). Thread safe.
+    void endCallsBy(mono_time time);
+
     /// Stops accepting connections. Thread safe.
     void closeListener();
 
--- a/src/shell/gateway/recording_sink.cpp
+++ b/src/shell/gateway/recording_sink.cpp
@@ -40,7 +40,19 @@
 
 void recording_sink::onReceiverGone(std::function<void()> action)
 {
+    m_onGone = action;
     m_next.onReceiverGone(std::move(action));
+    if (m_isSenderCancelled && m_onGone) {
+        m_onGone();
+    }
+}
+
+void recording_sink::cancelSender()
+{
+    m_isSenderCancelled = true;
+    if (m_onGone) {
+        m_onGone();
+    }
 }
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/recording_sink.h
+++ b/src/shell/gateway/recording_sink.h
@@ -7,7 +7,8 @@
 namespace sequoiawharf
 {
 
-/// Forwards an answer to another sink and records how it ended. Used by one coroutine at a time, on the thread of that sink.
+/// Forwards an answer to another sink, records how it ended, and can end its sender's work as if the receiver had gone. Used by one coroutine at a time, on the
+/// thread of that sink.
 class recording_sink : public answer_sink
 {
 public:
@@ -21,6 +22,10 @@
     bool isReceiverGone() const override;
     void onReceiverGone(std::function<void()> action) override;
 
+    /// Runs the action of onReceiverGone(), now or as soon as one is set, while the receiver still waits for an answer. Precondition: start() was not
+    /// called.
+    void cancelSender();
+
     /// Returns whether start() was called.
     bool isStarted() const
     {
@@ -46,6 +51,8 @@
     answer_sink &m_next;
     call_ending m_ending = call_ending::Unknown;
     call_reason m_reason = call_reason::ConnectionLost;
+    std::function<void()> m_onGone;
+    bool m_isSenderCancelled = false;
     bool m_isStarted = false;
     bool m_isFinished = false;
 };
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -91,6 +91,7 @@
         m_outcome.end = attempt_end::TimedOut;
         break;
     case call_watch::state::CallerGone:
+    case call_watch::state::Stopping:
         m_outcome.end = attempt_end::Cancelled;
         break;
     }
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -286,12 +286,12 @@
     logTo(log_level::Info, kInstancePart, "Stopping. signal={} calls_in_flight={}", number, inFlight);
     record(event_kind::StopStarted, fmt::format("signal={} calls_in_flight={}", number, inFlight));
     m_plane.node().startLeaving();
-    m_gateway.beginStop();
     const auto now = monoNow();
     if (m_stop.phase() == stop_phase::Serving) {
         m_stopRequestedAt = now;
     }
     m_stop.request(now);
+    m_gateway.beginStop(m_stop.answerBy());
     updateStop(now);
 }
 
--- a/tests/balance/slot_test.cpp
+++ b/tests/balance/slot_test.cpp
@@ -158,6 +158,7 @@
     CPPUNIT_TEST(probesFartherOnlyWhenNearEndpointsAreSlow);
     CPPUNIT_TEST(callWaitsWhileItCanMeetItsObjective);
     CPPUNIT_TEST(refusesACallThatCannotMeetItsDeadline);
+    CPPUNIT_TEST(planningEndsBeforeTheStop);
     CPPUNIT_TEST(lowRateAfterStartRefusesNoCall);
     CPPUNIT_TEST(probesAvoidShiftingSlowEndpoints);
     CPPUNIT_TEST(waitingImprovesABurstBeyondTheKnee);
@@ -220,6 +221,28 @@
         CPPUNIT_ASSERT(placeCall(std::nullopt, timingAfter(700ms)).decision == placement::kind::Refuse);
     }
 
+    // Guards against calls that a planned stop cuts: they were planned by their own deadline alone, which lay behind the end of the process.
+    void planningEndsBeforeTheStop()
+    {
+        const auto placedAt = [](std::chrono::nanoseconds passed, std::optional<probed_endpoint> best) {
+            auto timing = timingAfter(passed);
+            timing.deadline = kSlotStart + 8s;
+            timing.stopAt = kSlotStart + 600ms; // leaves 375 ms to start a call of 90 ms
+            return placeCall(best, timing);
+        };
+        CPPUNIT_ASSERT(placedAt(0ms, candidateWith(0)).decision == placement::kind::Send);
+        const auto waiting = placedAt(370ms, candidateWith(4));
+        CPPUNIT_ASSERT(waiting.decision == placement::kind::Wait && waiting.until <= kSlotStart + 375ms);
+        CPPUNIT_ASSERT(placedAt(380ms, candidateWith(4)).decision == placement::kind::Refuse);
+        CPPUNIT_ASSERT(placedAt(380ms, candidateWith(0)).decision == placement::kind::Refuse);
+        CPPUNIT_ASSERT(placedAt(380ms, std::nullopt).decision == placement::kind::Refuse);
+        auto longQueue = timingAfter(0ms, 10, 20);
+        longQueue.deadline = kSlotStart + 8s;
+        CPPUNIT_ASSERT(placeCall(std::nullopt, longQueue).decision == placement::kind::Wait);
+        longQueue.stopAt = kSlotStart + 600ms;
+        CPPUNIT_ASSERT_MESSAGE("no slot is expected before the stop", placeCall(std::nullopt, longQueue).decision == placement::kind::Refuse);
+    }
+
     // Guards against refusals right after a start: too few slots became free in the last second to predict how long a call waits.
     void lowRateAfterStartRefusesNoCall()
     {
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -95,6 +95,7 @@
     {
         stop_plan plan(100s, 20s);
         plan.request(kNow);
+        CPPUNIT_ASSERT_MESSAGE("calls are answered shortly before the deadline", plan.answerBy() < kNow + 20s && plan.answerBy() > kNow + 19s);
         CPPUNIT_ASSERT(plan.update(2, kNow + 19s) == stop_phase::Announced);
         CPPUNIT_ASSERT(plan.update(2, kNow + 20s) == stop_phase::Finished);
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, plan.cutCalls());
