Refuse a call that a full queue for slots drops

Cause: slot_queue::wait() returned at once, and without a sign, for a call that the full queue had dropped, so that acquireSlot() waited again: a loop that never returned to the event loop. A call that another one had pushed out ran the same loop. Now wait() reports the drop, and the call is refused as not run.

Ruled out: that 512 waiting calls are too much work by themselves. With 512 calls the directory answers at once; it takes the 513th to stop the thread.

--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -163,9 +163,13 @@
             queueProfile.priority = route_class::Bulk;
             queueProfile.deadline = m_profile.deadline;
         }
-        auto slot = co_await m_engine.slotQueue().wait(m_balancer, queueProfile, callPlacement.until, *m_watch);
-        if (slot) {
-            co_return slot;
+        auto wait = co_await m_engine.slotQueue().wait(m_balancer, queueProfile, callPlacement.until, *m_watch);
+        if (wait.slot) {
+            co_return std::move(wait.slot);
+        }
+        if (wait.isDropped) {
+            m_hasNoSlotInTime = true;
+            co_return std::nullopt;
         }
     }
     co_return std::nullopt;
--- a/src/shell/gateway/slot_queue.cpp
+++ b/src/shell/gateway/slot_queue.cpp
@@ -61,17 +61,18 @@
     return static_cast<double>(found->second.freedTimes.size()) / std::chrono::duration<double>(kFreedRateWindow).count();
 }
 
-asio::awaitable<std::optional<chosen_endpoint>> slot_queue::wait(balancer_ptr pool, call_profile call, mono_time until, call_watch &watch)
+asio::awaitable<slot_wait_result> slot_queue::wait(balancer_ptr pool, call_profile call, mono_time until, call_watch &watch)
 {
     const auto *const key = &pool->state();
     const auto token = ++m_lastToken;
     if (const auto dropped = m_queues[key].queue.push({token, call})) {
         auto &poolQueue = m_queues[key];
         if (const auto last = poolQueue.waiters.find(dropped->token); last != poolQueue.waiters.end()) {
+            last->second->result.isDropped = true;
             last->second->ended.cancel();
         }
         if (dropped->token == token) {
-            co_return std::nullopt;
+            co_return slot_wait_result {.slot = std::nullopt, .isDropped = true};
         }
     }
     const auto executor = co_await asio::this_coro::executor;
@@ -89,7 +90,7 @@
     auto &poolQueue = m_queues[key];
     poolQueue.queue.remove(token);
     poolQueue.waiters.erase(token);
-    co_return std::move(self.slot);
+    co_return std::move(self.result);
 }
 
 void slot_queue::slotFreed(const balancer_ptr &pool, const probed_endpoint &freed, mono_time now)
@@ -109,8 +110,8 @@
     const auto &address = pool->at(freed.index).definition().address;
     const auto index = next.pool->find(address);
     if (index) {
-        next.slot.emplace(chosen_endpoint {freed, m_connections.acquireIdleForProbe(address)});
-        next.slot->endpoint.index = *index;
+        next.result.slot.emplace(chosen_endpoint {freed, m_connections.acquireIdleForProbe(address)});
+        next.result.slot->endpoint.index = *index;
     }
     next.ended.cancel();
 }
--- a/src/shell/gateway/slot_queue.h
+++ b/src/shell/gateway/slot_queue.h
@@ -20,6 +20,12 @@
     connection_ptr connection; ///< A connection that answered a moment ago; null: the attempt takes an idle one or opens one.
 };
 
+/// How a wait in a slot_queue ended.
+struct slot_wait_result {
+    std::optional<chosen_endpoint> slot; ///< The slot that the call was given.
+    bool isDropped = false; ///< The queue is full and the call is the last one in order, so that it must not wait again.
+};
+
 /// The calls of one gateway thread that wait for a slot of an endpoint. When a call ends, its answer reports the load of its endpoint, and the first
 /// waiting call gets the freed slot together with the connection that has just answered, so that no endpoint has to be probed. Used on one thread.
 class slot_queue
@@ -37,9 +43,9 @@
     /// Returns the number of slots of the pool freed per second on this thread, over the last second.
     double slotsFreedPerSecond(const balancer_ptr &pool, mono_time now);
 
-    /// Waits for a slot until the time, or until the watch ends the call. Returns nothing when no slot was freed, or when the queue is full and the call
-    /// is the last one in order.
-    boost::asio::awaitable<std::optional<chosen_endpoint>> wait(balancer_ptr pool, call_profile call, mono_time until, call_watch &watch);
+    /// Waits for a slot until the time, until the watch ends the call, or until the call is dropped from a full queue. Does not suspend when the call is
+    /// dropped at once or the watch has ended it already; a caller that waited again then would keep the thread from other work.
+    boost::asio::awaitable<slot_wait_result> wait(balancer_ptr pool, call_profile call, mono_time until, call_watch &watch);
 
     /// Records that a call ended at the endpoint, and gives its slot to the first waiting call if the endpoint is neither slow nor nearly full.
     void slotFreed(const balancer_ptr &pool, const probed_endpoint &freed, mono_time now);
@@ -57,7 +63,7 @@
 
         balancer_ptr pool;
         boost::asio::steady_timer ended; ///< Expires at the end of the wait; cancelled when a slot is given, or when the call leaves the queue early.
-        std::optional<chosen_endpoint> slot;
+        slot_wait_result result;
     };
 
     struct pool_queue {
