Deliver a complete answer also when the call's time is up

Cause: the kept answer is forwarded after the wait for the hedge. By then the call's watch had ended, and forwardAnswer() registered an abort with it, which ran at once. A limit on waiting for an answer was applied to delivering one. Now a complete answer is delivered, for up to a second more if the caller reads slowly; a streamed one is still aborted.

Ruled out: that the answer was lost with the endpoint's connection; it is in memory as a whole.

--- a/src/shell/gateway/call_answer.cpp
+++ b/src/shell/gateway/call_answer.cpp
@@ -2,6 +2,10 @@
 #include "src/shell/gateway/call_run.h"
 #include "src/shell/metrics/gateway_metrics.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -17,6 +21,39 @@
 constexpr std::size_t kStreamBufferBytes = 64U << 10U;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
+constexpr std::chrono::seconds kLateDeliveryTime {1}; // after the call's time is up, for a caller that reads slowly
+
+/// Aborts an answer that its caller has not taken by a time. Used on one thread.
+class delivery_limit
+{
+public:
+    /// Precondition: the answer outlives the object.
+    explicit delivery_limit(answer_sink &answer)
+        : m_answer(std::make_shared<answer_sink *>(&answer))
+    {
+    }
+    ~delivery_limit()
+    {
+        *m_answer = nullptr;
+    }
+    delivery_limit(const delivery_limit &) = delete;
+    delivery_limit &operator=(const delivery_limit &) = delete;
+
+    /// Sets the time, counted from now. Precondition: called once.
+    void start(const asio::any_io_executor &executor, std::chrono::nanoseconds time)
+    {
+        m_timer.emplace(executor, time);
+        m_timer->async_wait([answer = m_answer](const boost::system::error_code &cancelled) {
+            if (!cancelled && *answer != nullptr) {
+                (*answer)->abort();
+            }
+        });
+    }
+
+private:
+    std::shared_ptr<answer_sink *> m_answer; ///< Null when the object is gone; the handler may run later.
+    std::optional<asio::steady_timer> m_timer;
+};
 
 } // namespace
 
@@ -24,10 +61,17 @@
 {
     m_isOver = true;
     m_watch->start();
-    const call_watch::scope cancelling(*m_watch, [this] {
-        m_answer.abort();
+    // A complete answer is delivered also when the call's time is up, as it may be when a hedge was waited for.
+    const bool isComplete = winner.state() == call_attempt::result::Held;
+    delivery_limit limit(m_answer);
+    const call_watch::scope cancelling(*m_watch, [&] {
+        if (isComplete && m_watch->now() != call_watch::state::CallerGone) {
+            limit.start(m_executor, kLateDeliveryTime);
+        } else {
+            m_answer.abort();
+        }
     });
-    if (winner.state() == call_attempt::result::Held) {
+    if (isComplete) {
         co_await forwardHeld(winner);
     } else {
         co_await forwardStream(winner);
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -320,7 +320,7 @@
     const bool mayHaveRun = outcome.requestMayHaveLeft && !(m_first->exchange().reportsNotRun() && outcome.end == attempt_end::Refused);
     m_profile.replayable = m_body->isReplayable() && (m_profile.idempotent || !mayHaveRun);
     const auto next = m_balancer->afterFailure(m_profile, m_record, monoNow());
-    if (isError && next.step != next_step::kind::Retry) {
+    if (isError && (next.step != next_step::kind::Retry || !m_watch->isRunning())) {
         co_await forwardAnswer(*m_first);
         co_return std::nullopt;
     }
--- a/tests/gateway/deadline_test.cpp
+++ b/tests/gateway/deadline_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(deadlineWithinAStreamedAnswerTruncatesIt);
     CPPUNIT_TEST(deadlineEndsAnAnswerThatTheCallerDoesNotRead);
     CPPUNIT_TEST(deadlineWithinAnUploadIsUnknown);
+    CPPUNIT_TEST(anErrorIsForwardedWhenItsHedgeTimesOut);
     CPPUNIT_TEST(callersHeaderLowersTheDeadline);
     CPPUNIT_TEST(callerGoneCancelsTheTarget);
     CPPUNIT_TEST(callerGoneAfterAnUploadCancelsTheTarget);
@@ -98,6 +99,40 @@
         CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), endingOf(caller.read()));
     }
 
+    // Guards against an endpoint's answer that is dropped, with the connection reset, because the hedge beside it runs into the deadline.
+    void anErrorIsForwardedWhenItsHedgeTimesOut()
+    {
+        std::atomic<int> shortCalls {0};
+        const auto script = [&](target_peer &peer) {
+            for (auto request = peer.readRequest(); !request.empty(); request = peer.readRequest()) {
+                if (!request.starts_with("GET /short")) {
+                    peer.answer("x", "200 OK", "endpoint-load-metrics: TEXT application_utilization=0.1\r\n");
+                } else if (shortCalls.fetch_add(1) == 0) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+                    peer.answer("failed", "500 Internal Server Error");
+                } else {
+                    peer.waitForClose();
+                    return;
+                }
+            }
+        };
+        const fake_target first(script);
+        const fake_target second(script);
+        gateway_rig rig({&first, &second});
+        rig.settings.probing.count = 1;
+        rig.targetPool.probePath = "/load";
+        rig.targetPool.maxConnections = 250;
+        rig.start();
+        test_caller caller(rig.address());
+        for (int i = 0; i < 300; ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
+        }
+        const auto received = caller.call("GET", "/short");
+        CPPUNIT_ASSERT_EQUAL(2, shortCalls.load());
+        CPPUNIT_ASSERT(received.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::string("500 failed"), std::to_string(received.status) + " " + received.body);
+    }
+
     void callersHeaderLowersTheDeadline()
     {
         const fake_target target([](target_peer &peer) {
