Use the slots of endpoints that report no load

Cause: an endpoint without a report was taken to have the pool's 4 slots, although service discovery had told its number, and the slot of a call that had ended was handed to a waiting call only if the answer reported the load. Now the slots of an entry belong to its endpoint, and the load of an endpoint that reports none is assumed from this instance's calls in flight, for probes and for freed slots.

Ruled out: endpoints that are too few; they ran at a quarter of what they can do.

--- a/include/sequoiawharf/pool_balancer.h
+++ b/include/sequoiawharf/pool_balancer.h
@@ -74,6 +74,10 @@
     /// here. In panic mode it draws at random, so that some calls still try this region.
     bool prefersRelay(random_source &random) const;
 
+    /// Returns the load of an endpoint that reports none: the calls in flight of this instance, and the endpoint's slots. Precondition: index is below the
+    /// number of endpoints of definition().
+    endpoint_load assumedLoad(std::uint32_t index) const;
+
     /// Returns the state of an endpoint. Precondition: index is below the number of endpoints of definition().
     endpoint_state &at(std::uint32_t index) const
     {
--- a/include/sequoiawharf/pool_table.h
+++ b/include/sequoiawharf/pool_table.h
@@ -21,6 +21,7 @@
     std::string identity {}; ///< Id of the target process at the address, as service discovery and the target itself report it; empty: unknown.
     std::uint64_t incarnation = 0; ///< Distinguishes successive processes of one identity; 0: unknown.
     mono_time warmupEnd {}; ///< When the warm-up of the process ends, as reported by service discovery; the epoch: unknown.
+    std::uint32_t slots = 0; ///< Calls that the endpoint serves concurrently, as reported by service discovery; 0: as stated for the pool.
 
     friend bool operator==(const endpoint &, const endpoint &) = default;
 };
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -38,7 +38,7 @@
 bool isSameProcess(const endpoint &first, const endpoint &second)
 {
     return first.address == second.address && first.dataCentre == second.dataCentre && first.identity == second.identity
-           && first.incarnation == second.incarnation;
+           && first.incarnation == second.incarnation && first.slots == second.slots;
 }
 
 // Returns whether an endpoint takes part in a choice, which it does with a growing chance after a rest.
@@ -259,6 +259,13 @@
     return sampled > 0 && static_cast<double>(unhealthy) >= kUnhealthyShare * static_cast<double>(sampled);
 }
 
+endpoint_load pool_balancer::assumedLoad(std::uint32_t index) const
+{
+    const auto &state = *m_endpoints[index];
+    const auto stated = state.definition().slots;
+    return {.running = state.inFlight.load(kRelaxed), .slots = std::max(1U, stated != 0 ? stated : m_definition.slots)};
+}
+
 bool pool_balancer::prefersRelay(random_source &random) const
 {
     constexpr std::uint32_t kLocalCallOneIn = 16; // in panic mode one call in 16 stays in this region, to detect when the pool recovers
--- a/src/discovery/endpoint_registry.cpp
+++ b/src/discovery/endpoint_registry.cpp
@@ -189,7 +189,8 @@
                                              .leaving = known->entry.leaving,
                                              .identity = known->entry.identity,
                                              .incarnation = known->entry.incarnation,
-                                             .warmupEnd = known->warmupEnd});
+                                             .warmupEnd = known->warmupEnd,
+                                             .slots = known->entry.slots});
     });
     return result;
 }
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -340,15 +340,18 @@
     offerFreedSlot(attempt);
 }
 
-// Offers the slot of an ended attempt to waiting calls, if the answer reported the endpoint's load.
+// Offers the slot of an ended attempt to waiting calls, if the endpoint has answered.
 void call_run::offerFreedSlot(call_attempt &attempt)
 {
+    const auto end = attempt.exchange().outcome().end;
+    const auto hasAnswered = end == attempt_end::Answered || end == attempt_end::ServerError;
     const auto &load = attempt.exchange().load();
-    if (!isProbing() || !load) {
+    if (!isProbing() || (!load && !hasAnswered)) {
         return;
     }
     const auto now = monoNow();
-    probed_endpoint freed {.index = attempt.index(), .distanceClass = m_balancer->distanceOf(attempt.index()), .load = *load};
+    probed_endpoint freed {
+        .index = attempt.index(), .distanceClass = m_balancer->distanceOf(attempt.index()), .load = load ? *load : m_balancer->assumedLoad(attempt.index())};
     freed.cold = m_balancer->at(attempt.index()).definition().warmupEnd > now;
     freed.healthy = m_balancer->mayTakeRequests(attempt.index(), now);
     m_engine.slotQueue().slotFreed(m_balancer, freed, now);
--- a/src/shell/gateway/probe_round.cpp
+++ b/src/shell/gateway/probe_round.cpp
@@ -150,8 +150,7 @@
     m_connections.recordAnswer(target.address, connection.opened);
     answer.healthy = signals->healthy;
     answer.cold = target.warmupEnd > connection.lastAnswer;
-    answer.load = signals->load.value_or(
-        endpoint_load {.running = m_pool->at(current.endpoint).inFlight.load(std::memory_order_relaxed), .slots = std::max(1U, m_pool->definition().slots)});
+    answer.load = signals->load.value_or(m_pool->assumedLoad(current.endpoint));
     co_return isOther ? probe_end::OtherTarget : (signals->healthy ? probe_end::Healthy : probe_end::Unhealthy);
 }
 
--- a/tests/discovery/endpoint_registry_test.cpp
+++ b/tests/discovery/endpoint_registry_test.cpp
@@ -46,7 +46,9 @@
         endpoint_registry registry(2s);
         registry.report(entryOf("e", 1), 0, kStart);
         CPPUNIT_ASSERT(registry.hasChanged(kStart));
-        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, registry.endpoints(kStart)[pool_name("p")].size());
+        const auto reported = registry.endpoints(kStart)[pool_name("p")];
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, reported.size());
+        CPPUNIT_ASSERT_EQUAL(4U, reported.front().slots);
         auto next = entryOf("e", 1);
         next.sequence = 7;
         registry.report(next, 1, kStart + 1s);
--- a/tests/gateway/queue_test.cpp
+++ b/tests/gateway/queue_test.cpp
@@ -73,6 +73,8 @@
     CPPUNIT_TEST_SUITE(queue_test);
     CPPUNIT_TEST(aFullQueueRefusesFurtherCalls);
     CPPUNIT_TEST(aCallThatIsPushedOutOfAFullQueueIsRefused);
+    CPPUNIT_TEST(endpointsThatReportNoLoadUseTheirSlots);
+    CPPUNIT_TEST(waitingCallsGetTheSlotsOfEndpointsThatReportNoLoad);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +90,69 @@
         expectPromptRefusals(milliseconds(7000));
     }
 
+    // An endpoint that reports no load was taken to have the slots of the pool's default, whatever service discovery said of it.
+    void endpointsThatReportNoLoadUseTheirSlots()
+    {
+        constexpr int kCallsAtOnce = 12; // three quarters of the endpoint's slots; at more it counts as nearly full
+        std::atomic<int> running {0};
+        const fake_target target([&](target_peer &peer) {
+            for (auto request = peer.readRequest(); !request.empty(); request = peer.readRequest()) {
+                if (request.starts_with("POST")) {
+                    running += 1;
+                    eventually([&] {
+                        return running >= kCallsAtOnce;
+                    });
+                }
+                peer.answer("x");
+            }
+        });
+        gateway_rig rig({&target});
+        rig.settings.probing.count = 1;
+        rig.targetPool.probePath = "/load";
+        rig.targetPool.maxConnections = 250;
+        rig.targetPool.endpoints.front().slots = 16;
+        rig.start();
+        many_callers callers(rig.address());
+        for (int i = 0; i < kCallsAtOnce; ++i) {
+            callers.send(milliseconds(8000));
+        }
+        CPPUNIT_ASSERT(eventually([&] {
+            return callers.answered() == kCallsAtOnce;
+        }));
+        CPPUNIT_ASSERT_EQUAL(kCallsAtOnce, running.load());
+    }
+
+    // A slot that became free at such an endpoint was not offered to the waiting calls, of which only the first one probed, once in 80 ms.
+    void waitingCallsGetTheSlotsOfEndpointsThatReportNoLoad()
+    {
+        constexpr std::size_t kCalls = 120;
+        constexpr milliseconds kWork {10};
+        constexpr milliseconds kMaxTime {1500}; // with six calls at a time 200 ms are enough; one call in 80 ms takes 9.6 s
+        const fake_target target([&](target_peer &peer) {
+            for (auto request = peer.readRequest(); !request.empty(); request = peer.readRequest()) {
+                if (request.starts_with("POST")) {
+                    std::this_thread::sleep_for(kWork);
+                }
+                peer.answer("x");
+            }
+        });
+        gateway_rig rig({&target});
+        rig.settings.probing.count = 1;
+        rig.targetPool.probePath = "/load";
+        rig.targetPool.maxConnections = 250;
+        rig.targetPool.endpoints.front().slots = 8;
+        rig.start();
+        const auto begun = monoNow();
+        many_callers callers(rig.address());
+        for (std::size_t i = 0; i < kCalls; ++i) {
+            callers.send(milliseconds(60'000));
+        }
+        CPPUNIT_ASSERT(eventually([&] {
+            return callers.answered() == kCalls;
+        }));
+        CPPUNIT_ASSERT(monoNow() - begun < kMaxTime);
+    }
+
 private:
     // Fills the queue with calls that have a deadline of 8 s, sends more with the given deadline, and expects that as many are refused and that the
     // thread serves other requests.
