Let the test of a hedged error wait for its hedge

anErrorIsForwardedWhenItsHedgeTimesOut failed in one of eight runs beside busy processes: the target answered its error 80 ms after the request, before the hedge had been sent. It now answers when the hedge has arrived, within a deadline of 1.5 s. The checks are the same.

--- a/tests/gateway/deadline_test.cpp
+++ b/tests/gateway/deadline_test.cpp
@@ -102,13 +102,15 @@
     // Guards against an endpoint's answer that is dropped, with the connection reset, because the hedge beside it runs into the deadline.
     void anErrorIsForwardedWhenItsHedgeTimesOut()
     {
-        std::atomic<int> shortCalls {0};
+        std::atomic<int> failingCalls {0};
         const auto script = [&](target_peer &peer) {
             for (auto request = peer.readRequest(); !request.empty(); request = peer.readRequest()) {
-                if (!request.starts_with("GET /short")) {
+                if (!request.starts_with("GET /failing")) {
                     peer.answer("x", "200 OK", "endpoint-load-metrics: TEXT application_utilization=0.1\r\n");
-                } else if (shortCalls.fetch_add(1) == 0) {
-                    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+                } else if (failingCalls.fetch_add(1) == 0) {
+                    eventually([&] {
+                        return failingCalls == 2; // the hedge has been sent
+                    });
                     peer.answer("failed", "500 Internal Server Error");
                 } else {
                     peer.waitForClose();
@@ -127,8 +129,8 @@
         for (int i = 0; i < 300; ++i) {
             CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
         }
-        const auto received = caller.call("GET", "/short");
-        CPPUNIT_ASSERT_EQUAL(2, shortCalls.load());
+        const auto received = caller.call("GET", "/failing", {}, "Sequoiawharf-Deadline-Ms: 1500\r\n");
+        CPPUNIT_ASSERT_EQUAL(2, failingCalls.load());
         CPPUNIT_ASSERT(received.isWhole);
         CPPUNIT_ASSERT_EQUAL(std::string("500 failed"), std::to_string(received.status) + " " + received.body);
     }
