Count the deadline of a stop from when the signal may have been sent

The instance's log had no line of its end.

Cause found in trials: the platform counts its grace time from the signal, the instance from when its control thread handled it, with 50 ms to spare. A process that is held up for longer is killed before it would have ended its calls.

--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -25,12 +25,12 @@
 {
 }
 
-void stop_plan::request(mono_time now)
+void stop_plan::request(mono_time sentSince, mono_time now)
 {
     if (m_phase == stop_phase::Serving) {
         m_phase = stop_phase::Announced;
-        m_drainAt = now + m_lifetime + kAnswerLatency;
-        m_cutAt = now + m_deadline;
+        m_cutAt = sentSince + m_deadline;
+        m_drainAt = std::min(now + m_lifetime + kAnswerLatency, answerBy());
         return;
     }
     m_drainAt = std::min(m_drainAt, now);
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -87,6 +87,7 @@
     void refreshReadiness();
     void rereadSettings();
     void updateStop(mono_time now);
+    mono_time lastPromptTime() const;
     instance_summary summary() const;
     void record(event_kind kind, std::string detail);
 
@@ -97,6 +98,8 @@
     instance_settings m_fileSettings; ///< Settings in the last valid read of the settings file.
     std::string m_fileError; ///< Error of the last read of the settings file; empty when it was valid.
     mono_time m_rereadDue {};
+    mono_time m_tickedAt {};
+    mono_time m_previousTickAt {};
     incarnation m_process;
     event_recorder m_events;
     gateway_metrics m_metrics;
@@ -228,6 +231,7 @@
     asio::steady_timer timer(m_control);
     while (true) {
         const auto now = monoNow();
+        m_previousTickAt = std::exchange(m_tickedAt, now);
         m_plane.tick(now);
         refreshReadiness();
         updateStop(now);
@@ -288,9 +292,9 @@
     m_plane.node().startLeaving();
     const auto now = monoNow();
     if (m_stop.phase() == stop_phase::Serving) {
-        m_stopRequestedAt = now;
+        m_stopRequestedAt = lastPromptTime();
     }
-    m_stop.request(now);
+    m_stop.request(lastPromptTime(), now);
     m_gateway.beginStop(m_stop.answerBy());
     updateStop(now);
 }
@@ -322,6 +326,13 @@
     record(event_kind::SettingsChanged, fmt::format("in_force={} waits_for_start={}", change.appliesNow, change.needsRestart));
 }
 
+// Returns the last time at which the control thread had handled all that had arrived. A signal that it handles now may have been sent since then.
+mono_time instance::implementation::lastPromptTime() const
+{
+    const bool wasLastTickLate = m_tickedAt - m_previousTickAt > 2 * kTickInterval;
+    return wasLastTickLate && m_previousTickAt != mono_time {} ? m_previousTickAt : m_tickedAt;
+}
+
 void instance::implementation::updateStop(mono_time now)
 {
     const auto phase = m_stop.update(m_gateway.callsInFlight(), now);
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST_SUITE(parts_test);
     CPPUNIT_TEST(stopCutsNoCallsBeforeTheDeadline);
     CPPUNIT_TEST(secondRequestShortensTheStop);
+    CPPUNIT_TEST(deadlineCountsFromTheEarliestTimeOfTheRequest);
     CPPUNIT_TEST(deadlineBoundsTheStop);
     CPPUNIT_TEST(nearEntriesComeFirst);
     CPPUNIT_TEST(loadedEntriesAreChosenLessOften);
@@ -58,7 +59,7 @@
         testing::checkProperty("calls that come by answers of the directory and end before the deadline are never cut", [] {
             const std::chrono::milliseconds lifetime(*rc::gen::inRange(100, 10'000));
             stop_plan plan(lifetime, 60s);
-            plan.request(kNow);
+            plan.request(kNow, kNow);
             std::vector<mono_time> ends;
             const auto calls = *rc::gen::inRange(0, 30);
             for (int i = 0; i < calls; ++i) {
@@ -82,19 +83,33 @@
     {
         stop_plan plan(10s, 60s);
         CPPUNIT_ASSERT(plan.update(0, kNow) == stop_phase::Serving);
-        plan.request(kNow);
+        plan.request(kNow, kNow);
         CPPUNIT_ASSERT(plan.update(0, kNow + 1s) == stop_phase::Announced);
-        plan.request(kNow + 1s);
+        plan.request(kNow + 1s, kNow + 1s);
         CPPUNIT_ASSERT(plan.update(3, kNow + 1s) == stop_phase::Draining);
         CPPUNIT_ASSERT(plan.update(3, kNow + 5s) == stop_phase::Draining);
         CPPUNIT_ASSERT(plan.update(3, kNow + 6s) == stop_phase::Finished);
         CPPUNIT_ASSERT_EQUAL(std::size_t {3}, plan.cutCalls());
     }
 
+    // Guards against a process that is killed with its calls: the platform counts its deadline from the signal, which a held up thread sees late.
+    void deadlineCountsFromTheEarliestTimeOfTheRequest()
+    {
+        stop_plan plan(3s, 6s);
+        plan.request(kNow - 2s, kNow);
+        CPPUNIT_ASSERT(plan.answerBy() < kNow + 4s);
+        CPPUNIT_ASSERT(plan.update(1, kNow + 3400ms) == stop_phase::Announced);
+        CPPUNIT_ASSERT(plan.update(1, kNow + 3500ms) == stop_phase::Draining);
+        stop_plan late(3s, 6s);
+        late.request(kNow - 4s, kNow);
+        CPPUNIT_ASSERT_MESSAGE("drains while answers can be sent", late.update(1, late.answerBy()) == stop_phase::Draining);
+        CPPUNIT_ASSERT(plan.update(1, kNow + 4s) == stop_phase::Finished);
+    }
+
     void deadlineBoundsTheStop()
     {
         stop_plan plan(100s, 20s);
-        plan.request(kNow);
+        plan.request(kNow, kNow);
         CPPUNIT_ASSERT_MESSAGE("calls are answered shortly before the deadline", plan.answerBy() < kNow + 20s && plan.answerBy() > kNow + 19s);
         CPPUNIT_ASSERT(plan.update(2, kNow + 19s) == stop_phase::Announced);
         CPPUNIT_ASSERT(plan.update(2, kNow + 20s) == stop_phase::Finished);
