Count the first stop from the start of the process, and allocate for late answers alone

A signal that is handled before the control thread's first tick had no time from which to count, so that the stop would have had no time at all. It now counts from the construction of the instance. An answer that is delivered in time no longer allocates for the limit on late ones.

--- a/src/shell/gateway/call_answer.cpp
+++ b/src/shell/gateway/call_answer.cpp
@@ -29,12 +29,14 @@
 public:
     /// Precondition: the answer outlives the object.
     explicit delivery_limit(answer_sink &answer)
-        : m_answer(std::make_shared<answer_sink *>(&answer))
+        : m_answer(answer)
     {
     }
     ~delivery_limit()
     {
-        *m_answer = nullptr;
+        if (m_timed) {
+            *m_timed = nullptr;
+        }
     }
     delivery_limit(const delivery_limit &) = delete;
     delivery_limit &operator=(const delivery_limit &) = delete;
@@ -42,8 +44,9 @@
     /// Sets the time, counted from now. Precondition: called once.
     void start(const asio::any_io_executor &executor, std::chrono::nanoseconds time)
     {
+        m_timed = std::make_shared<answer_sink *>(&m_answer);
         m_timer.emplace(executor, time);
-        m_timer->async_wait([answer = m_answer](const boost::system::error_code &cancelled) {
+        m_timer->async_wait([answer = m_timed](const boost::system::error_code &cancelled) {
             if (!cancelled && *answer != nullptr) {
                 (*answer)->abort();
             }
@@ -51,7 +54,8 @@
     }
 
 private:
-    std::shared_ptr<answer_sink *> m_answer; ///< Null when the object is gone; the handler may run later.
+    answer_sink &m_answer;
+    std::shared_ptr<answer_sink *> m_timed; ///< The answer for the timer's handler, which may run later; holds null when the object is gone.
     std::optional<asio::steady_timer> m_timer;
 };
 
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -98,8 +98,8 @@
     instance_settings m_fileSettings; ///< Settings in the last valid read of the settings file.
     std::string m_fileError; ///< Error of the last read of the settings file; empty when it was valid.
     mono_time m_rereadDue {};
-    mono_time m_tickedAt {};
-    mono_time m_previousTickAt {};
+    mono_time m_tickedAt = monoNow();
+    mono_time m_previousTickAt = m_tickedAt;
     incarnation m_process;
     event_recorder m_events;
     gateway_metrics m_metrics;
@@ -330,7 +330,7 @@
 mono_time instance::implementation::lastPromptTime() const
 {
     const bool wasLastTickLate = m_tickedAt - m_previousTickAt > 2 * kTickInterval;
-    return wasLastTickLate && m_previousTickAt != mono_time {} ? m_previousTickAt : m_tickedAt;
+    return wasLastTickLate ? m_previousTickAt : m_tickedAt;
 }
 
 void instance::implementation::updateStop(mono_time now)
