Share what the tests of the gateway wrote several times

They are now received_answer::endingAndReason(), gateway_rig::startProbing(), expectAnswered() and loadField(). The assertions are the same; an answer that is not whole now also fails where only its ending was compared.

--- a/tests/gateway/deadline_test.cpp
+++ b/tests/gateway/deadline_test.cpp
@@ -13,11 +13,6 @@
 
 using namespace testing;
 
-std::string endingOf(const received_answer &received)
-{
-    return received.ending() + " " + received.reason();
-}
-
 /// Guards against calls that outlive their deadline or their caller, and against calls reported as not run after a target has received them.
 class deadline_test : public CppUnit::TestFixture
 {
@@ -41,7 +36,7 @@
         gateway_rig rig({&target});
         test_caller caller(rig.address());
         caller.send("POST /short HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nab");
-        CPPUNIT_ASSERT_EQUAL(std::string("not-run deadline-passed"), endingOf(caller.read()));
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run deadline-passed"), caller.read().endingAndReason());
         CPPUNIT_ASSERT_EQUAL(0, target.runs());
     }
 
@@ -96,7 +91,7 @@
         gateway_rig rig({&target});
         test_caller caller(rig.address());
         caller.send("POST /short HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n" + std::string(100'000, 'x'));
-        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), endingOf(caller.read()));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), caller.read().endingAndReason());
     }
 
     // Guards against an endpoint's answer that is dropped, with the connection reset, because the hedge beside it runs into the deadline.
@@ -120,25 +115,21 @@
                     peer.waitForClose();
                     return;
                 } else {
-                    peer.answer("x", "200 OK", "endpoint-load-metrics: TEXT application_utilization=0.1\r\n");
+                    peer.answer("x", "200 OK", loadField(0.1));
                 }
             }
         };
         const fake_target first(script);
         const fake_target second(script);
         gateway_rig rig({&first, &second});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
         rig.targetPool.maxConnections = 250;
-        rig.start();
+        rig.startProbing();
         // A busy machine may keep a call from being hedged.
         for (int i = 0; i < 20 && !isHedged; ++i) {
             isFirst = true;
             isPageAnswered = false;
             test_caller caller(rig.address());
-            for (int call = 0; call < 100; ++call) {
-                CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
-            }
+            expectAnswered(caller, 100);
             const auto received = caller.call("GET", "/failing", {}, "Sequoiawharf-Deadline-Ms: 1000\r\n");
             CPPUNIT_ASSERT(received.isWhole);
             CPPUNIT_ASSERT(!isHedged || (received.status == 500 && received.body == "failed"));
@@ -154,7 +145,7 @@
         });
         gateway_rig rig({&target});
         test_caller caller(rig.address());
-        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), endingOf(caller.call("POST", "/", "x", "Sequoiawharf-Deadline-Ms: 100\r\n")));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), caller.call("POST", "/", "x", "Sequoiawharf-Deadline-Ms: 100\r\n").endingAndReason());
         CPPUNIT_ASSERT_EQUAL(std::string("not-run"), caller.call("POST", "/", "x", "Sequoiawharf-Deadline-Ms: 0\r\n").ending());
     }
 
@@ -180,7 +171,7 @@
         });
         gateway_rig rig({&target});
         test_caller caller(rig.address());
-        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), endingOf(caller.call("POST", "/short", "x")));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), caller.call("POST", "/short", "x").endingAndReason());
         CPPUNIT_ASSERT_EQUAL(1, target.runs());
     }
 
--- a/tests/gateway/endless_test.cpp
+++ b/tests/gateway/endless_test.cpp
@@ -150,9 +150,7 @@
                 isClosed = true;
             });
             gateway_rig rig({&target});
-            rig.settings.probing.count = 1;
-            rig.targetPool.probePath = "/load";
-            rig.start();
+            rig.startProbing();
             test_caller caller(rig.address());
             const auto received = caller.call("GET", "/short");
             CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(endless.name), std::string("not-run"), received.ending());
--- a/tests/gateway/fake_target.cpp
+++ b/tests/gateway/fake_target.cpp
@@ -144,6 +144,11 @@
     }
 }
 
+std::string loadField(double utilisation)
+{
+    return fmt::format("endpoint-load-metrics: TEXT application_utilization={}\r\n", utilisation);
+}
+
 fake_target::script alwaysAnswer(std::string body)
 {
     return [body = std::move(body)](target_peer &peer) {
--- a/tests/gateway/fake_target.h
+++ b/tests/gateway/fake_target.h
@@ -85,6 +85,9 @@
     std::thread m_thread;
 };
 
+/// Returns the header field in which a target reports its load: calls running divided by its slots.
+std::string loadField(double utilisation);
+
 /// Returns a script that answers every request with the body.
 fake_target::script alwaysAnswer(std::string body);
 
--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -129,6 +129,13 @@
     m_socket.close();
 }
 
+void expectAnswered(test_caller &caller, int calls)
+{
+    for (int i = 0; i < calls; ++i) {
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
+    }
+}
+
 bool eventually(const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kWaitTimeout.tv_sec);
@@ -179,4 +186,11 @@
     m_gateway->setReady(true, "");
 }
 
+void gateway_rig::startProbing()
+{
+    settings.probing.count = 1;
+    targetPool.probePath = "/load";
+    start();
+}
+
 } // namespace sequoiawharf::testing
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -53,6 +53,11 @@
         const auto found = fields.find("sequoiawharf-reason");
         return found == fields.end() ? std::string {} : found->second;
     }
+    /// Returns the ending and the reason, separated by a space, of a complete answer.
+    std::string endingAndReason() const
+    {
+        return isWhole ? ending() + " " + reason() : std::string("no whole answer");
+    }
 };
 
 /// A caller's connection with blocking reads and writes.
@@ -82,6 +87,9 @@
     std::string m_unread;
 };
 
+/// Makes idempotent calls, one after the other, and expects that each is answered. Their latencies let the gateway hedge later calls.
+void expectAnswered(test_caller &caller, int calls);
+
 /// Waits until the condition holds. Returns false if it does not within 10 s.
 bool eventually(const std::function<bool()> &condition);
 
@@ -111,6 +119,9 @@
     /// Replaces the gateway by a new one with the current settings and targetPool.
     void start();
 
+    /// As start(), with a gateway that probes one target before each call.
+    void startProbing();
+
     instance_settings settings;
     pool targetPool;
 
--- a/tests/gateway/pool_test.cpp
+++ b/tests/gateway/pool_test.cpp
@@ -104,9 +104,7 @@
         const fake_target second(script);
         gateway_rig rig({&first, &second});
         test_caller caller(rig.address());
-        for (int i = 0; i < 300; ++i) {
-            CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
-        }
+        expectAnswered(caller, 300);
         isStuck = true;
         CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
     }
@@ -154,9 +152,7 @@
         const fake_target second(script);
         gateway_rig rig({&first, &second});
         test_caller caller(rig.address());
-        for (int i = 0; i < 300; ++i) {
-            CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
-        }
+        expectAnswered(caller, 300);
         CPPUNIT_ASSERT(first.connections() > 0 && second.connections() > 0);
         std::this_thread::sleep_for(kLivenessProofExpiry);
         path.isSilent = true;
@@ -272,9 +268,7 @@
             }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/health";
-        rig.start();
+        rig.startProbing();
         test_caller caller(rig.address());
         for (int i = 0; i < 5; ++i) {
             const auto begun = std::chrono::steady_clock::now();
--- a/tests/gateway/queue_test.cpp
+++ b/tests/gateway/queue_test.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::size_t kQueueCapacity = 512; // calls of one pool on one thread
 constexpr std::size_t kCallsBeyond = 16;
-constexpr milliseconds kPromptly {1000};
+constexpr milliseconds kMaxRefusalTime {1000};
 
 /// Many callers' connections that share one context, so that each takes a single descriptor.
 class many_callers
@@ -107,11 +107,9 @@
             }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
         rig.targetPool.maxConnections = 250;
         rig.targetPool.endpoints.front().slots = 16;
-        rig.start();
+        rig.startProbing();
         many_callers callers(rig.address());
         for (int i = 0; i < kCallsAtOnce; ++i) {
             callers.send(milliseconds(8000));
@@ -137,11 +135,9 @@
             }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
         rig.targetPool.maxConnections = 250;
         rig.targetPool.endpoints.front().slots = 8;
-        rig.start();
+        rig.startProbing();
         const auto begun = monoNow();
         many_callers callers(rig.address());
         for (std::size_t i = 0; i < kCalls; ++i) {
@@ -160,12 +156,10 @@
     {
         allowManyDescriptors();
         const fake_target target([](target_peer &peer) {
-            while (!peer.readRequest().empty() && peer.answer("", "200 OK", "endpoint-load-metrics: TEXT application_utilization=1\r\n")) { }
+            while (!peer.readRequest().empty() && peer.answer("", "200 OK", loadField(1))) { }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
-        rig.start();
+        rig.startProbing();
         many_callers callers(rig.address());
         for (std::size_t i = 0; i < kQueueCapacity; ++i) {
             callers.send(milliseconds(8000));
@@ -184,7 +178,7 @@
         }));
         test_caller other(rig.address());
         CPPUNIT_ASSERT_EQUAL(200U, other.call("GET", "/.sequoiawharf/directory").status);
-        CPPUNIT_ASSERT(monoNow() - begun < kPromptly);
+        CPPUNIT_ASSERT(monoNow() - begun < kMaxRefusalTime);
         CPPUNIT_ASSERT_EQUAL(kQueueCapacity, rig.server().callsInFlight());
     }
 };
--- a/tests/gateway/reset_test.cpp
+++ b/tests/gateway/reset_test.cpp
@@ -261,7 +261,7 @@
         });
         gateway_rig rig({&target});
         test_caller caller(rig.address());
-        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), endingOf(caller.call("GET", "/short")));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown deadline-passed"), caller.call("GET", "/short").endingAndReason());
         for (int i = 0; i < 10; ++i) {
             CPPUNIT_ASSERT_EQUAL(std::string("own"), caller.call("GET", "/").body);
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -301,11 +301,6 @@
     }
 
 private:
-    static std::string endingOf(const received_answer &received)
-    {
-        return received.ending() + " " + received.reason();
-    }
-
     // Returns the size of the request of a POST "/bookings" with "one flat" as a target receives it.
     static std::size_t requestSize()
     {
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -46,11 +46,6 @@
     }
 };
 
-std::string endingOf(const received_answer &received)
-{
-    return received.isWhole ? received.ending() + " " + received.reason() : std::string("no whole answer");
-}
-
 /// Guards against calls that a planned stop cuts without an answer. The stop leaves a time to the calls; a call that has not ended by then must get an
 /// answer that states truthfully whether it may have run.
 class stop_test : public CppUnit::TestFixture
@@ -73,13 +68,11 @@
     void callsThatWaitForASlotAreAnswered()
     {
         const fake_target target([](target_peer &peer) {
-            while (!peer.readRequest().empty() && peer.answer("", "200 OK", "endpoint-load-metrics: TEXT application_utilization=1\r\n")) { }
+            while (!peer.readRequest().empty() && peer.answer("", "200 OK", loadField(1))) { }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
         rig.targetPool.maxConnections = 250;
-        rig.start();
+        rig.startProbing();
         expectAnswers(rig, 6, kPost, "not-run stopping");
     }
 
@@ -160,16 +153,14 @@
         const fake_target second(script);
         gateway_rig rig({&first, &second});
         test_caller caller(rig.address());
-        for (int i = 0; i < 300; ++i) {
-            CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/").ending());
-        }
+        expectAnswered(caller, 300);
         isStuck = true;
         caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
         CPPUNIT_ASSERT(eventually([&] {
             return stuckCalls == 2;
         }));
         rig.server().beginStop(monoNow() + kCallTime);
-        CPPUNIT_ASSERT_EQUAL(std::string("unknown stopping"), endingOf(caller.read()));
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown stopping"), caller.read().endingAndReason());
         caller.close();
         expectFinished(rig);
     }
@@ -187,7 +178,7 @@
         gateway_rig rig({&target});
         rig.server().beginStop(monoNow());
         test_caller caller(rig.address());
-        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), endingOf(caller.call("POST", "/", "x")));
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), caller.call("POST", "/", "x").endingAndReason());
         CPPUNIT_ASSERT_EQUAL(0, target.runs());
     }
 
@@ -202,16 +193,14 @@
             }
         });
         gateway_rig rig({&target});
-        rig.settings.probing.count = 1;
-        rig.targetPool.probePath = "/load";
-        rig.start();
+        rig.startProbing();
         test_caller caller(rig.address());
         for (int i = 0; i < 5; ++i) {
             CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("POST", "/", "x").ending());
         }
         rig.server().beginStop(monoNow() + 2 * kWork);
         const auto begun = monoNow();
-        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), endingOf(caller.call("POST", "/", "x")));
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), caller.call("POST", "/", "x").endingAndReason());
         CPPUNIT_ASSERT(monoNow() - begun < kWork);
     }
 
@@ -245,7 +234,7 @@
         const auto end = monoNow() + kCallTime;
         rig.server().beginStop(end);
         std::ranges::for_each(callers, [&](const auto &caller) {
-            CPPUNIT_ASSERT_EQUAL(ending, endingOf(caller->read()));
+            CPPUNIT_ASSERT_EQUAL(ending, caller->read().endingAndReason());
         });
         CPPUNIT_ASSERT(monoNow() < end + kMaxAnswerDelay);
         callers.clear();
