Decide in one place whether a stop is too near for a call

placeCall() and call_run worked out the same condition and the same margin each for itself. isStopTooNear() of slot_wait now serves both, and latestStartOf() holds the margin.

--- a/include/sequoiawharf/slot_wait.h
+++ b/include/sequoiawharf/slot_wait.h
@@ -36,9 +36,9 @@
 /// Returns whether the endpoint is healthy and can take a call now without being slow or slowing down the calls that it is serving. Thread safe.
 bool isUncongested(const probed_endpoint &candidate);
 
-/// Returns whether a call that is sent now is expected to end before the instance stops, even if it takes longer than usual. unloadedLatency: as in
-/// call_timing. Thread safe.
-bool endsBeforeStop(mono_time stopAt, mono_time now, std::chrono::nanoseconds unloadedLatency);
+/// Returns whether the instance stops before a call that is sent now has surely ended, although its deadline is later, so that another instance can
+/// still serve it. Thread safe.
+bool isStopTooNear(const call_timing &timing);
 
 /// Decides whether a call is sent, queued or refused. best: the best probed candidate, if any. A nearly full endpoint serves all its calls more
 /// slowly, so under load all calls gain when each waits for an uncongested endpoint as long as it can still meet its objective or else its deadline.
--- a/src/balance/slot_wait.cpp
+++ b/src/balance/slot_wait.cpp
@@ -24,6 +24,12 @@
     return time * percent / 100;
 }
 
+// Returns the latest time at which a call may start and still end before its deadline and the instance's stop, even if it takes longer than usual.
+mono_time latestStartOf(const call_timing &timing)
+{
+    return std::min(timing.deadline, timing.stopAt) - percentOf(timing.unloadedLatency, kLatestStartPercent);
+}
+
 bool isFull(const probed_endpoint &candidate)
 {
     return candidate.load.running >= candidate.load.slots;
@@ -36,15 +42,14 @@
     return candidate.healthy && expectedSlowdown(candidate) <= kMaxUncongestedSlowdown;
 }
 
-bool endsBeforeStop(mono_time stopAt, mono_time now, nanoseconds unloadedLatency)
+bool isStopTooNear(const call_timing &timing)
 {
-    return now < stopAt - percentOf(unloadedLatency, kLatestStartPercent);
+    return timing.stopAt < timing.deadline && timing.now >= latestStartOf(timing);
 }
 
 placement placeCall(const std::optional<probed_endpoint> &best, const call_timing &timing)
 {
-    // Another instance can serve the call in the time that is left to it after the stop.
-    if (timing.stopAt < timing.deadline && !endsBeforeStop(timing.stopAt, timing.now, timing.unloadedLatency)) {
+    if (isStopTooNear(timing)) {
         return {.decision = placement::kind::Refuse};
     }
     const bool isLatencyKnown = timing.unloadedLatency > nanoseconds::zero();
@@ -52,7 +57,7 @@
         return {.decision = placement::kind::Send};
     }
     const auto latestOnTimeStart = timing.objectiveAt - percentOf(timing.unloadedLatency, kOnTimePercent);
-    const auto latestStart = std::min(timing.deadline, timing.stopAt) - percentOf(timing.unloadedLatency, kLatestStartPercent);
+    const auto latestStart = latestStartOf(timing);
     const bool isLate = timing.now >= latestOnTimeStart;
     if (timing.now >= latestStart) {
         const bool maySend = best && !isFull(*best) && timing.now + timing.unloadedLatency < timing.deadline;
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -49,7 +49,7 @@
         if (!m_watch->isRunning() || monoNow() >= m_profile.deadline) {
             co_return co_await refuse(earlyEndRefusal());
         }
-        if (isStopTooNear()) {
+        if (isBoundByStop() && isStopTooNear(timing())) {
             co_return co_await refuse(stopRefusal());
         }
         auto next = co_await nextAttempt();
@@ -78,7 +78,7 @@
         return earlyEndRefusal();
     }
     const auto now = monoNow();
-    if (step.reason == call_reason::NoTarget && m_hasNoSlotInTime && m_engine.callsEndBy() < m_profile.deadline) {
+    if (step.reason == call_reason::NoTarget && m_hasNoSlotInTime && isBoundByStop()) {
         return stopRefusal();
     }
     const auto restEnd = m_balancer->firstRestEnd(now);
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -229,11 +229,10 @@
     return response;
 }
 
-// Returns whether the instance stops before an attempt that is started now could end, while the call's own deadline would allow it.
-bool call_run::isStopTooNear() const
+// Returns whether the instance stops before the call's deadline.
+bool call_run::isBoundByStop() const
 {
-    const auto stopAt = m_engine.callsEndBy();
-    return stopAt < m_profile.deadline && !endsBeforeStop(stopAt, monoNow(), m_balancer->unloadedLatency());
+    return m_engine.callsEndBy() < m_profile.deadline;
 }
 
 asio::awaitable<void> call_run::refuse(refusal response)
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -46,7 +46,7 @@
     refusal tooLargeRefusal() const;
     refusal earlyEndRefusal() const;
     refusal stopRefusal() const;
-    bool isStopTooNear() const;
+    bool isBoundByStop() const;
     refusal refusalFor(const next_step &step);
     bool isProbing() const;
     call_timing timing() const;
