Log who answered the calls of a stopping instance, and from when the stop counts

The users' record names calls that got an answer around a SIGTERM, and no line of the instance tells whose answer it was: calls that count as answered write no line, and `Stopping.` doesn't give the time from which the stop counts.

- Each call that ends in a stopping instance writes `call-ended`, answered ones too, with the status that the caller got and when it arrived in the stop (`arrived_in_stop_ms`).
- `Stopping.` gives the time from which the stop counts and by which calls are answered, relative to when the signal was handled.
- The bounds of a stop reach the calls as one value, `stop_bounds`.

--- a/include/sequoiawharf/stop_plan.h
+++ b/include/sequoiawharf/stop_plan.h
@@ -16,6 +16,12 @@
     Finished, ///< No calls are in flight, or the deadline has passed.
 };
 
+/// The bounds that a planned stop sets to calls; mono_time::max() in all of them: there is no stop.
+struct stop_bounds {
+    mono_time requested = mono_time::max(); ///< The time from which the stop counts.
+    mono_time answerBy = mono_time::max(); ///< Every call must have been answered by then.
+};
+
 /// Determines the phase of a planned stop. Owns no clock. Not thread safe.
 class stop_plan
 {
@@ -41,6 +47,9 @@
     /// was requested.
     mono_time answerBy() const;
 
+    /// Returns the bounds for calls. Precondition: a stop was requested.
+    stop_bounds bounds() const;
+
     /// Returns the number of calls that were cut off by the deadline; 0 before the phase is Finished.
     std::size_t cutCalls() const
     {
@@ -51,6 +60,7 @@
     std::chrono::milliseconds m_lifetime;
     std::chrono::milliseconds m_deadline;
     stop_phase m_phase = stop_phase::Serving;
+    mono_time m_requested;
     mono_time m_drainAt;
     mono_time m_cutAt;
     std::size_t m_cut = 0;
--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -29,6 +29,7 @@
 {
     if (m_phase == stop_phase::Serving) {
         m_phase = stop_phase::Announced;
+        m_requested = sentSince;
         m_cutAt = sentSince + m_deadline;
         m_drainAt = std::min(now + m_lifetime + kAnswerLatency, answerBy());
         return;
@@ -42,6 +43,11 @@
     return m_cutAt - std::min(kLastAnswersTime, m_deadline / kLastAnswersDivisor);
 }
 
+stop_bounds stop_plan::bounds() const
+{
+    return {.requested = m_requested, .answerBy = answerBy()};
+}
+
 stop_phase stop_plan::update(std::size_t inFlight, mono_time now)
 {
     if (m_phase == stop_phase::Announced && (now >= m_drainAt || now >= m_cutAt)) {
--- a/src/shell/gateway/call_answer.cpp
+++ b/src/shell/gateway/call_answer.cpp
@@ -102,7 +102,7 @@
     if (!sent) {
         co_return finishUndelivered();
     }
-    finish(call_ending::Answered, call_reason::None);
+    finish(call_ending::Answered, call_reason::None, head.status);
     const auto now = std::chrono::steady_clock::now();
     m_engine.metrics().addedTime[static_cast<std::size_t>(m_profile.priority)].add(now - m_head.received - m_targetTime, now);
 }
@@ -131,7 +131,7 @@
         sent = co_await m_answer.write(std::span<const char>(buffer).first(*count));
     }
     if (sent) {
-        co_return finish(call_ending::Answered, call_reason::None);
+        co_return finish(call_ending::Answered, call_reason::None, exchange.head().status);
     }
     winner.cancel();
     exchange.outcome().end = attempt_end::Cancelled;
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -124,7 +124,7 @@
     return {.now = now,
             .objectiveAt = std::min(objective, m_profile.deadline),
             .deadline = m_profile.deadline,
-            .stopAt = m_engine.callsEndBy(),
+            .stopAt = m_engine.stopBounds().answerBy,
             .unloadedLatency = m_balancer->unloadedLatency(),
             .callsAhead = m_engine.slotQueue().waiting(m_balancer),
             .slotsFreedPerSecond = m_engine.slotQueue().slotsFreedPerSecond(m_balancer, now)};
--- a/src/shell/gateway/call_engine.cpp
+++ b/src/shell/gateway/call_engine.cpp
@@ -66,11 +66,12 @@
     m_probes.setRate(fleetRate / std::max(1U, current->place().instances) / settings.threads, now);
 }
 
-void call_engine::endCallsBy(mono_time time)
+void call_engine::beginStop(const stop_bounds &bounds)
 {
-    m_callsEndBy = std::min(m_callsEndBy, time);
+    m_stopBounds.requested = std::min(m_stopBounds.requested, bounds.requested);
+    m_stopBounds.answerBy = std::min(m_stopBounds.answerBy, bounds.answerBy);
     std::ranges::for_each(m_calls, [&](running_call &call) {
-        call.stopAt(m_callsEndBy);
+        call.stopAt(m_stopBounds.answerBy);
     });
     m_readinessChanged.notify();
 }
--- a/src/shell/gateway/call_engine.h
+++ b/src/shell/gateway/call_engine.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/probe_budget.h"
 #include "sequoiawharf/random_source.h"
+#include "sequoiawharf/stop_plan.h"
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/admission_gate.h"
 #include "src/shell/gateway/connection_pool.h"
@@ -35,14 +36,14 @@
     /// Sets the rate of the probe budget: this thread's share of the fleet's probe rate for the endpoints of the current configuration.
     void setProbeRate(mono_time now);
 
-    /// Ends all calls, those in flight and those that arrive later, by the time, because the instance stops: each gets an answer that states whether it
-    /// may have run. A later time than one set before has no effect.
-    void endCallsBy(mono_time time);
+    /// Ends all calls, those in flight and those that arrive later, by bounds.answerBy, because the instance stops: each gets an answer that states
+    /// whether it may have run. Later bounds than those set before have no effect.
+    void beginStop(const stop_bounds &bounds);
 
-    /// Returns the time by which calls must have ended because the instance stops; mono_time::max(): it does not stop.
-    mono_time callsEndBy() const
+    /// Returns the bounds that a stop of the instance sets to calls.
+    const stop_bounds &stopBounds() const
     {
-        return m_callsEndBy;
+        return m_stopBounds;
     }
 
     gateway_shared &shared()
@@ -94,7 +95,7 @@
     async_signal m_readinessChanged;
     relay_client *m_relay;
     random_source m_random;
-    mono_time m_callsEndBy = mono_time::max();
+    stop_bounds m_stopBounds;
     boost::intrusive::list<running_call, boost::intrusive::constant_time_size<false>> m_calls; ///< The calls in flight.
 };
 
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -64,7 +64,7 @@
     }
     m_executor = co_await asio::this_coro::executor;
     m_watch.emplace(m_executor, m_profile.deadline);
-    m_watch->stopAt(m_engine.callsEndBy());
+    m_watch->stopAt(m_engine.stopBounds().answerBy);
     if (auto response = co_await holdBody()) {
         co_return co_await refuse(std::move(*response));
     }
@@ -102,7 +102,7 @@
     auto ready = m_engine.shared().ready.load();
     const auto longestWaitEnd = readinessWaitEnd(ready->unreadySince, m_head.received, m_head.callerTimeout);
     const auto waitEnd = [&] {
-        return std::min(longestWaitEnd, m_engine.callsEndBy());
+        return std::min(longestWaitEnd, m_engine.stopBounds().answerBy);
     };
     m_answer.onReceiverGone([this] {
         m_engine.readinessChanged().notify();
@@ -232,12 +232,12 @@
 // Returns whether the instance stops before the call's deadline.
 bool call_run::isBoundByStop() const
 {
-    return m_engine.callsEndBy() < m_profile.deadline;
+    return m_engine.stopBounds().answerBy < m_profile.deadline;
 }
 
 asio::awaitable<void> call_run::refuse(refusal response)
 {
-    finish(response.ending, response.reason);
+    finish(response.ending, response.reason, response.status);
     if (response.reason == call_reason::CallerGone) {
         m_answer.abort();
         co_return;
@@ -245,27 +245,33 @@
     co_await sendRefusal(m_answer, response);
 }
 
-void call_run::finish(call_ending ending, call_reason reason)
+// status: of the answer that the caller got, the endpoint's when the ending is Answered and otherwise the instance's own; 0: none or not known.
+void call_run::finish(call_ending ending, call_reason reason, unsigned status)
 {
     m_isOver = true;
     m_engine.metrics().countEnding(ending, reason);
-    if (ending != call_ending::Answered || m_head.id % kAnsweredSampleInterval == 0) {
-        record(event_kind::CallEnded, endingDetail(ending, reason));
+    const bool isStopping = m_engine.stopBounds().answerBy != mono_time::max();
+    if (ending != call_ending::Answered || isStopping || m_head.id % kAnsweredSampleInterval == 0) {
+        record(event_kind::CallEnded, endingDetail(ending, reason, status));
     }
 }
 
 // Returns the detail of the event: the ending, and the data that it depended on, such as the configuration's version, the time left, the calls
 // waiting and the rate of freed slots.
-std::string call_run::endingDetail(call_ending ending, call_reason reason) const
+std::string call_run::endingDetail(call_ending ending, call_reason reason, unsigned status) const
 {
     const auto ms = [](std::chrono::nanoseconds time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
-    auto text = fmt::format("ending={} reason={} attempts={} took_ms={}",
+    auto text = fmt::format("ending={} reason={} status={} attempts={} took_ms={}",
                             toString(ending),
                             toString(reason),
+                            status,
                             m_record.attempts(),
                             ms(std::chrono::steady_clock::now() - m_head.received));
+    if (const auto &bounds = m_engine.stopBounds(); bounds.answerBy != mono_time::max()) {
+        text += fmt::format(" arrived_in_stop_ms={}", ms(m_head.received - bounds.requested));
+    }
     if (!m_balancer) {
         return text;
     }
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -78,9 +78,9 @@
     boost::asio::awaitable<void> forwardHeld(call_attempt &winner);
     boost::asio::awaitable<void> forwardStream(call_attempt &winner);
     boost::asio::awaitable<void> refuse(refusal response);
-    void finish(call_ending ending, call_reason reason);
+    void finish(call_ending ending, call_reason reason, unsigned status = 0);
     void finishUndelivered();
-    std::string endingDetail(call_ending ending, call_reason reason) const;
+    std::string endingDetail(call_ending ending, call_reason reason, unsigned status) const;
     void record(event_kind kind, std::string detail) const;
 
     call_engine &m_engine;
--- a/src/shell/gateway/gateway.cpp
+++ b/src/shell/gateway/gateway.cpp
@@ -94,11 +94,11 @@
     std::ranges::for_each(m_threads, &gateway_thread::readinessChanged);
 }
 
-void gateway::beginStop(mono_time callsEndBy)
+void gateway::beginStop(const stop_bounds &bounds)
 {
     m_shared->isStopping.store(true, std::memory_order_relaxed);
     std::ranges::for_each(m_threads, [&](const auto &thread) {
-        thread->endCallsBy(callsEndBy);
+        thread->beginStop(bounds);
     });
 }
 
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/stop_plan.h"
 #include "src/base/rcu_snapshot.h"
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/call_dialect.h"
@@ -55,9 +56,9 @@
     void setReady(bool ready, std::string_view why);
 
     /// Makes every answer close its connection from now on, so that callers reconnect to other instances. New connections and calls are still
-    /// served as far as calls can end by the time; every other call is answered by then as not run, or as unknown if a target may have run it. A later
-    /// time than that of an earlier call has no effect. Thread safe.
-    void beginStop(mono_time callsEndBy);
+    /// served as far as calls can end by bounds.answerBy; every other call is answered by then as not run, or as unknown if a target may have run it.
+    /// Later bounds than those of an earlier call have no effect. Thread safe.
+    void beginStop(const stop_bounds &bounds);
 
     /// Returns the number of calls that have been received and have not ended. Thread safe.
     std::size_t callsInFlight() const;
--- a/src/shell/gateway/gateway_thread.cpp
+++ b/src/shell/gateway/gateway_thread.cpp
@@ -97,10 +97,10 @@
     });
 }
 
-void gateway_thread::endCallsBy(mono_time time)
+void gateway_thread::beginStop(const stop_bounds &bounds)
 {
-    asio::post(m_context, [this, time] {
-        m_engine.endCallsBy(time);
+    asio::post(m_context, [this, bounds] {
+        m_engine.beginStop(bounds);
     });
 }
 
--- a/src/shell/gateway/gateway_thread.h
+++ b/src/shell/gateway/gateway_thread.h
@@ -47,8 +47,8 @@
     /// Wakes the calls that wait for the instance to become ready. Thread safe.
     void readinessChanged();
 
-    /// Ends all calls by the time, see call_engine::endCallsBy(). Thread safe.
-    void endCallsBy(mono_time time);
+    /// Bounds all calls, see call_engine::beginStop(). Thread safe.
+    void beginStop(const stop_bounds &bounds);
 
     /// Stops accepting connections. Thread safe.
     void closeListener();
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -286,16 +286,24 @@
         logTo(log_level::Info, kInstancePart, "Received SIGHUP; reading the settings file again.");
         return rereadSettings();
     }
-    const auto inFlight = m_gateway.callsInFlight();
-    logTo(log_level::Info, kInstancePart, "Stopping. signal={} calls_in_flight={}", number, inFlight);
-    record(event_kind::StopStarted, fmt::format("signal={} calls_in_flight={}", number, inFlight));
-    m_plane.node().startLeaving();
     const auto now = monoNow();
     if (m_stop.phase() == stop_phase::Serving) {
         m_stopRequestedAt = lastPromptTime();
     }
     m_stop.request(lastPromptTime(), now);
-    m_gateway.beginStop(m_stop.answerBy());
+    const auto bounds = m_stop.bounds();
+    const auto ms = [](std::chrono::nanoseconds time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
+    const auto detail = fmt::format("signal={} calls_in_flight={} counts_from_ms={} answers_by_ms={}",
+                                    number,
+                                    m_gateway.callsInFlight(),
+                                    ms(bounds.requested - now),
+                                    ms(bounds.answerBy - now));
+    logTo(log_level::Info, kInstancePart, "Stopping. {}", detail);
+    record(event_kind::StopStarted, detail);
+    m_plane.node().startLeaving();
+    m_gateway.beginStop(bounds);
     updateStop(now);
 }
 
--- a/tests/gateway/lifecycle_test.cpp
+++ b/tests/gateway/lifecycle_test.cpp
@@ -115,7 +115,7 @@
         CPPUNIT_ASSERT(eventually([&] {
             return answered > 20;
         }));
-        rig.server().beginStop(std::chrono::steady_clock::now() + std::chrono::seconds(20));
+        rig.server().beginStop({.answerBy = std::chrono::steady_clock::now() + std::chrono::seconds(20)});
         const int before = answered;
         CPPUNIT_ASSERT(eventually([&] {
             return answered > before + 20; // calls are still answered
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -94,7 +94,7 @@
         CPPUNIT_ASSERT(eventually([&] {
             return target.runs() > 0;
         }));
-        rig.server().beginStop(monoNow() + kCallTime);
+        rig.server().beginStop({.answerBy = monoNow() + kCallTime});
         int waited = 0;
         std::ranges::for_each(callers, [&](const auto &caller) {
             const auto received = caller->read();
@@ -159,7 +159,7 @@
         CPPUNIT_ASSERT(eventually([&] {
             return stuckCalls == 2;
         }));
-        rig.server().beginStop(monoNow() + kCallTime);
+        rig.server().beginStop({.answerBy = monoNow() + kCallTime});
         CPPUNIT_ASSERT_EQUAL(std::string("unknown stopping"), caller.read().endingAndReason());
         caller.close();
         expectFinished(rig);
@@ -176,7 +176,7 @@
     {
         const fake_target target(alwaysAnswer("x"));
         gateway_rig rig({&target});
-        rig.server().beginStop(monoNow());
+        rig.server().beginStop({.answerBy = monoNow()});
         test_caller caller(rig.address());
         CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), caller.call("POST", "/", "x").endingAndReason());
         CPPUNIT_ASSERT_EQUAL(0, target.runs());
@@ -198,7 +198,7 @@
         for (int i = 0; i < 5; ++i) {
             CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("POST", "/", "x").ending());
         }
-        rig.server().beginStop(monoNow() + 2 * kWork);
+        rig.server().beginStop({.answerBy = monoNow() + 2 * kWork});
         const auto begun = monoNow();
         CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), caller.call("POST", "/", "x").endingAndReason());
         CPPUNIT_ASSERT(monoNow() - begun < kWork);
@@ -208,7 +208,7 @@
     {
         const fake_target target(alwaysAnswer("x"));
         gateway_rig rig({&target});
-        rig.server().beginStop(monoNow() + std::chrono::seconds(5));
+        rig.server().beginStop({.answerBy = monoNow() + std::chrono::seconds(5)});
         test_caller caller(rig.address());
         const auto received = caller.call("POST", "/", "x");
         CPPUNIT_ASSERT_EQUAL(std::string("answered"), received.ending());
@@ -232,7 +232,7 @@
         }));
         std::this_thread::sleep_for(milliseconds(50)); // the calls reach what they wait for
         const auto end = monoNow() + kCallTime;
-        rig.server().beginStop(end);
+        rig.server().beginStop({.answerBy = end});
         std::ranges::for_each(callers, [&](const auto &caller) {
             CPPUNIT_ASSERT_EQUAL(ending, caller->read().endingAndReason());
         });
--- a/tests/peer/relay_path_test.cpp
+++ b/tests/peer/relay_path_test.cpp
@@ -196,7 +196,7 @@
             CPPUNIT_ASSERT_EQUAL(200U, answer.status);
             CPPUNIT_ASSERT_EQUAL(std::string("target got photo"), answer.body);
             far.peers().beginStop(far.threads());
-            far.threads().beginStop(clock::now() + 5s);
+            far.threads().beginStop({.answerBy = clock::now() + 5s});
             CPPUNIT_ASSERT_EQUAL(std::size_t {0}, far.threads().finish(5s));
         }
         targetContext.stop();
