Refuse calls that come late in a planned stop and may outlast it

Cause: a stopping instance took calls on kept connections, and on new ones until its listener closed, as long as an endpoint would usually have answered before the stop's end. An answer of the directory that names the instance has expired by then, and nothing bounds how long the endpoint takes but the call's deadline. Class: a bound that the plan of the stop announces ("no new calls") and that the calls don't know.

Change: `stop_bounds::lastArrival`, when the directory's answers that name the instance have expired, counted from the earliest time of the signal.

Tests: lateCallsOnKeptConnectionsReachNoTarget and lateBodiesReachNoTarget got "unknown stopping" without the condition in isStopTooNear(), and lateCallsOfAStopMustFitWhole failed; lateCallsWithShortDeadlinesAreServed and callsMayComeAsLongAsTheDirectoryAnswersLive guard the other side.

--- a/include/sequoiawharf/slot_wait.h
+++ b/include/sequoiawharf/slot_wait.h
@@ -15,6 +15,8 @@
     mono_time objectiveAt {}; ///< Time until which the answer meets the route's latency objective.
     mono_time deadline {};
     mono_time stopAt = mono_time::max(); ///< Time by which the instance must have answered all calls because it stops.
+    mono_time arrived {};
+    mono_time lastArrival = mono_time::max(); ///< Time after which a stopping instance takes only calls whose deadline is before stopAt.
     std::chrono::nanoseconds unloadedLatency {0}; ///< Average latency of the pool's calls at an idle endpoint; 0 means unknown.
     std::size_t callsAhead = 0; ///< Calls of the pool that are already waiting on this thread.
     double slotsFreedPerSecond = 0; ///< Recent rate at which the pool's slots become free for this thread's calls; 0 means unknown.
@@ -37,7 +39,7 @@
 bool isUncongested(const probed_endpoint &candidate);
 
 /// Returns whether the instance stops before a call that is sent now has surely ended, although its deadline is later, so that another instance can
-/// still serve it. Thread safe.
+/// still serve it. A call that arrived after lastArrival may take until its deadline, an earlier one a multiple of the unloaded latency. Thread safe.
 bool isStopTooNear(const call_timing &timing);
 
 /// Decides whether a call is sent, queued or refused. best: the best probed candidate, if any. A nearly full endpoint serves all its calls more
--- a/include/sequoiawharf/stop_plan.h
+++ b/include/sequoiawharf/stop_plan.h
@@ -12,13 +12,14 @@
 enum class stop_phase {
     Serving, ///< No stop was requested.
     Announced, ///< Removed from the directory and announced to the other instances. Callers with a cached directory answer are still served.
-    Draining, ///< New calls are rejected; calls in flight continue.
+    Draining, ///< New connections are rejected; calls in flight continue.
     Finished, ///< No calls are in flight, or the deadline has passed.
 };
 
 /// The bounds that a planned stop sets to calls; mono_time::max() in all of them: there is no stop.
 struct stop_bounds {
     mono_time requested = mono_time::max(); ///< The time from which the stop counts.
+    mono_time lastArrival = mono_time::max(); ///< A call that arrives later is served only if its deadline is before answerBy.
     mono_time answerBy = mono_time::max(); ///< Every call must have been answered by then.
 };
 
@@ -61,6 +62,7 @@
     std::chrono::milliseconds m_deadline;
     stop_phase m_phase = stop_phase::Serving;
     mono_time m_requested;
+    mono_time m_lastArrival;
     mono_time m_drainAt;
     mono_time m_cutAt;
     std::size_t m_cut = 0;
--- a/src/balance/slot_wait.cpp
+++ b/src/balance/slot_wait.cpp
@@ -44,7 +44,7 @@
 
 bool isStopTooNear(const call_timing &timing)
 {
-    return timing.stopAt < timing.deadline && timing.now >= latestStartOf(timing);
+    return timing.stopAt < timing.deadline && (timing.arrived > timing.lastArrival || timing.now >= latestStartOf(timing));
 }
 
 placement placeCall(const std::optional<probed_endpoint> &best, const call_timing &timing)
--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -30,10 +30,12 @@
     if (m_phase == stop_phase::Serving) {
         m_phase = stop_phase::Announced;
         m_requested = sentSince;
+        m_lastArrival = sentSince + m_lifetime;
         m_cutAt = sentSince + m_deadline;
         m_drainAt = std::min(now + m_lifetime + kAnswerLatency, answerBy());
         return;
     }
+    m_lastArrival = std::min(m_lastArrival, now);
     m_drainAt = std::min(m_drainAt, now);
     m_cutAt = std::min(m_cutAt, now + kRepeatedRequestDeadline);
 }
@@ -45,7 +47,7 @@
 
 stop_bounds stop_plan::bounds() const
 {
-    return {.requested = m_requested, .answerBy = answerBy()};
+    return {.requested = m_requested, .lastArrival = m_lastArrival, .answerBy = answerBy()};
 }
 
 stop_phase stop_plan::update(std::size_t inFlight, mono_time now)
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -125,6 +125,8 @@
             .objectiveAt = std::min(objective, m_profile.deadline),
             .deadline = m_profile.deadline,
             .stopAt = m_engine.stopBounds().answerBy,
+            .arrived = m_arrived,
+            .lastArrival = m_engine.stopBounds().lastArrival,
             .unloadedLatency = m_balancer->unloadedLatency(),
             .callsAhead = m_engine.slotQueue().waiting(m_balancer),
             .slotsFreedPerSecond = m_engine.slotQueue().slotsFreedPerSecond(m_balancer, now)};
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -68,6 +68,9 @@
     if (auto response = co_await holdBody()) {
         co_return co_await refuse(std::move(*response));
     }
+    if (isBoundByStop() && isStopTooNear(timing())) {
+        co_return co_await refuse(stopRefusal());
+    }
     admission verdict;
     if (!isProbing()) {
         verdict = co_await m_engine.gate().enter(m_balancer, m_profile, *m_watch);
@@ -143,6 +146,7 @@
         return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NoTarget);
     }
     m_balancer->callStarted(m_head.received);
+    m_arrived = m_head.received;
     const auto bound = std::min(m_route->deadline, m_engine.shared().settings.limits.maxDeadline);
     m_profile.deadline = m_head.received + std::min(bound, m_head.callerTimeout.value_or(bound));
     m_profile.priority = m_route->priority;
@@ -174,6 +178,7 @@
         if (!held) {
             co_return bodyRefusal();
         }
+        m_arrived = monoNow();
     }
     if (m_body->isHeld()) {
         m_head.contentLength = m_body->held().size();
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -92,6 +92,7 @@
     balancer_ptr m_balancer;
     const route *m_route = nullptr;
     call_profile m_profile;
+    mono_time m_arrived {}; ///< When the request had been read, including the part of its body that is held.
     std::optional<request_body> m_body;
     std::optional<call_watch> m_watch;
     call_record m_record;
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -56,7 +56,8 @@
     void setReady(bool ready, std::string_view why);
 
     /// Makes every answer close its connection from now on, so that callers reconnect to other instances. New connections and calls are still
-    /// served as far as calls can end by bounds.answerBy; every other call is answered by then as not run, or as unknown if a target may have run it.
+    /// served as far as calls can end by bounds.answerBy; every other call is answered by then as not run, or as unknown if a target may have run it. A
+    /// call that arrives after bounds.lastArrival and whose deadline is after bounds.answerBy is refused at once.
     /// Later bounds than those of an earlier call have no effect. Thread safe.
     void beginStop(const stop_bounds &bounds);
 
--- a/tests/balance/slot_test.cpp
+++ b/tests/balance/slot_test.cpp
@@ -159,6 +159,7 @@
     CPPUNIT_TEST(callWaitsWhileItCanMeetItsObjective);
     CPPUNIT_TEST(refusesACallThatCannotMeetItsDeadline);
     CPPUNIT_TEST(planningEndsBeforeTheStop);
+    CPPUNIT_TEST(lateCallsOfAStopMustFitWhole);
     CPPUNIT_TEST(lowRateAfterStartRefusesNoCall);
     CPPUNIT_TEST(probesAvoidShiftingSlowEndpoints);
     CPPUNIT_TEST(waitingImprovesABurstBeyondTheKnee);
@@ -243,6 +244,22 @@
         CPPUNIT_ASSERT_MESSAGE("no slot is expected before the stop", placeCall(std::nullopt, longQueue).decision == placement::kind::Refuse);
     }
 
+    // Guards against a target that is at work on a call that came late when the instance stops.
+    void lateCallsOfAStopMustFitWhole()
+    {
+        auto timing = timingAfter(0ms);
+        timing.arrived = kSlotStart;
+        timing.deadline = kSlotStart + 4s;
+        timing.stopAt = kSlotStart + 3s;
+        timing.lastArrival = kSlotStart;
+        CPPUNIT_ASSERT(placeCall(candidateWith(0), timing).decision == placement::kind::Send);
+        timing.lastArrival = kSlotStart - 1ms;
+        CPPUNIT_ASSERT(placeCall(candidateWith(0), timing).decision == placement::kind::Refuse);
+        CPPUNIT_ASSERT(placeCall(std::nullopt, timing).decision == placement::kind::Refuse);
+        timing.stopAt = timing.deadline;
+        CPPUNIT_ASSERT(placeCall(candidateWith(0), timing).decision == placement::kind::Send);
+    }
+
     // Guards against refusals right after a start: too few slots became free in the last second to predict how long a call waits.
     void lowRateAfterStartRefusesNoCall()
     {
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(callsAfterTheirTimeAreRefusedAtOnce);
     CPPUNIT_TEST(callsThatCannotEndInTimeAreRefusedAtOnce);
     CPPUNIT_TEST(callsThatCanEndInTimeAreServed);
+    CPPUNIT_TEST(lateCallsOnKeptConnectionsReachNoTarget);
+    CPPUNIT_TEST(lateBodiesReachNoTarget);
+    CPPUNIT_TEST(lateCallsWithShortDeadlinesAreServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -215,6 +218,61 @@
         CPPUNIT_ASSERT_EQUAL(std::string("close"), received.fields.at("connection"));
     }
 
+    // Calls on connections that callers had kept reached targets until shortly before the stop ended, and got an answer of the instance in place of the
+    // target's.
+    void lateCallsOnKeptConnectionsReachNoTarget()
+    {
+        std::atomic<bool> isStuck {false};
+        const fake_target target([&](target_peer &peer) {
+            while (!peer.readRequest().empty()) {
+                if (isStuck) {
+                    peer.waitForClose();
+                    return;
+                }
+                peer.answer("x");
+            }
+        });
+        gateway_rig rig({&target});
+        test_caller kept(rig.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), kept.call("POST", "/", "x").ending());
+        isStuck = true;
+        const auto runs = target.runs();
+        rig.server().beginStop({.lastArrival = monoNow(), .answerBy = monoNow() + kCallTime});
+        const auto begun = monoNow();
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), kept.call("POST", "/", "x").endingAndReason());
+        CPPUNIT_ASSERT_MESSAGE("refused at once, so that the caller has time left for another instance", monoNow() - begun < kCallTime / 2);
+        CPPUNIT_ASSERT_EQUAL(runs, target.runs());
+    }
+
+    // As above, for a request that begins in time and whose body arrives late.
+    void lateBodiesReachNoTarget()
+    {
+        const fake_target target([](target_peer &peer) {
+            peer.readRequest();
+            peer.waitForClose();
+        });
+        gateway_rig rig({&target});
+        test_caller caller(rig.address());
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+        CPPUNIT_ASSERT(eventually([&] {
+            return rig.server().callsInFlight() == 1;
+        }));
+        rig.server().beginStop({.lastArrival = monoNow(), .answerBy = monoNow() + kCallTime});
+        std::this_thread::sleep_for(kCallTime / 8);
+        caller.send("0\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run stopping"), caller.read().endingAndReason());
+        CPPUNIT_ASSERT_EQUAL(0, target.runs());
+    }
+
+    void lateCallsWithShortDeadlinesAreServed()
+    {
+        const fake_target target(alwaysAnswer("x"));
+        gateway_rig rig({&target});
+        rig.server().beginStop({.lastArrival = monoNow(), .answerBy = monoNow() + std::chrono::seconds(5)});
+        test_caller caller(rig.address());
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("POST", "/short", "x").ending());
+    }
+
 private:
     static constexpr std::string_view kPost = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx";
 
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(secondRequestShortensTheStop);
     CPPUNIT_TEST(deadlineCountsFromTheEarliestTimeOfTheRequest);
     CPPUNIT_TEST(deadlineBoundsTheStop);
+    CPPUNIT_TEST(callsMayComeAsLongAsTheDirectoryAnswersLive);
     CPPUNIT_TEST(nearEntriesComeFirst);
     CPPUNIT_TEST(loadedEntriesAreChosenLessOften);
     CPPUNIT_TEST(budgetBoundsAnyWindow);
@@ -116,6 +117,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, plan.cutCalls());
     }
 
+    void callsMayComeAsLongAsTheDirectoryAnswersLive()
+    {
+        stop_plan plan(3s, 6s);
+        plan.request(kNow, kNow + 100ms);
+        CPPUNIT_ASSERT(plan.bounds().requested == kNow);
+        CPPUNIT_ASSERT_MESSAGE("counts from the earliest time of the request", plan.bounds().lastArrival == kNow + 3s);
+        CPPUNIT_ASSERT(plan.bounds().answerBy == plan.answerBy());
+        plan.request(kNow + 1s, kNow + 1s);
+        CPPUNIT_ASSERT(plan.bounds().lastArrival == kNow + 1s);
+    }
+
     void nearEntriesComeFirst()
     {
         directory_view view {data_centre_id("a"), region_id("north"), {}, 10s};
