Let a short stop keep its deadline when the signal comes twice

A signal that is sent to a process and to its group comes twice. The second one set the deadline to 5 s, so that with a deadline of 6 s calls were ended 4.8 s after it, while the platform leaves targets at work until 5 s (a sixth before its end) and longer.

A stop of at most 10 s keeps its deadline; a second signal still ends the wait for callers. repeatedRequestLeavesAShortStopItsTime fails without the change (answerBy() 4.9 s after the first signal).

--- a/include/sequoiawharf/stop_plan.h
+++ b/include/sequoiawharf/stop_plan.h
@@ -31,8 +31,8 @@
     stop_plan(std::chrono::milliseconds lifetime, std::chrono::milliseconds deadline);
 
     /// Requests the stop. sentSince: the earliest time at which the request may have been made, from which the deadline counts; it is before now when the
-    /// thread that receives requests was held up. A second request ends the wait for callers with cached answers and shortens the deadline to at most
-    /// 5 seconds from now.
+    /// thread that receives requests was held up. A second request ends the wait for callers with cached answers and shortens a deadline of more than
+    /// 10 seconds to at most 5 seconds from now.
     void request(mono_time sentSince, mono_time now);
 
     /// Updates and returns the phase. inFlight: calls without an answer yet, relayed ones included.
--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::chrono::seconds kRepeatedRequestDeadline {5};
+constexpr std::chrono::seconds kMinShortenedDeadline {10}; ///< A stop of at most this deadline keeps it when the request is repeated.
 
 /// Callers may hold an answer that was on its way when the instance left the directory.
 constexpr std::chrono::milliseconds kAnswerLatency {500};
@@ -37,7 +38,9 @@
     }
     m_lastArrival = std::min(m_lastArrival, now);
     m_drainAt = std::min(m_drainAt, now);
-    m_cutAt = std::min(m_cutAt, now + kRepeatedRequestDeadline);
+    if (m_deadline > kMinShortenedDeadline) {
+        m_cutAt = std::min(m_cutAt, now + kRepeatedRequestDeadline);
+    }
 }
 
 mono_time stop_plan::answerBy() const
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST_SUITE(parts_test);
     CPPUNIT_TEST(stopCutsNoCallsBeforeTheDeadline);
     CPPUNIT_TEST(secondRequestShortensTheStop);
+    CPPUNIT_TEST(repeatedRequestLeavesAShortStopItsTime);
     CPPUNIT_TEST(deadlineCountsFromTheEarliestTimeOfTheRequest);
     CPPUNIT_TEST(deadlineBoundsTheStop);
     CPPUNIT_TEST(callsMayComeAsLongAsTheDirectoryAnswersLive);
@@ -93,6 +94,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {3}, plan.cutCalls());
     }
 
+    // Guards against answers in place of a target at work: a signal sent to the process and to its group comes twice, and calls were ended before the
+    // last sixth of the platform's deadline of 6 s.
+    void repeatedRequestLeavesAShortStopItsTime()
+    {
+        stop_plan plan(3s, 5950ms);
+        plan.request(kNow, kNow);
+        plan.request(kNow + 100ms, kNow + 100ms);
+        CPPUNIT_ASSERT(plan.answerBy() >= kNow + 5s);
+        CPPUNIT_ASSERT_MESSAGE("skips the wait for callers", plan.update(1, kNow + 100ms) == stop_phase::Draining);
+    }
+
     // Guards against a process that is killed with its calls: the platform counts its deadline from the signal, which a held up thread sees late.
     void deadlineCountsFromTheEarliestTimeOfTheRequest()
     {
