--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -51,6 +51,21 @@
     });
 }
 
+// Returns how many instances haven't learned, 3 s after one of them announced it over links that lose messages, that an endpoint leaves.
+std::ptrdiff_t instancesWithoutLeavingNotice(std::uint64_t seed)
+{
+    fleet all(seed);
+    addAll(all, 3);
+    all.dropRate = 0.1;
+    all.duplicateRate = 0.2;
+    all.run(4s);
+    all.at("n0").members->announceLeaving({pool_name("quotes"), {"10.1.1.1", 80}, {}}, all.now());
+    all.run(3s);
+    return std::ranges::count_if(all.live(), [](const fleet_instance *instance) {
+        return instance->name != "n0" && !instance->leavingAt.contains("10.1.1.1:80");
+    });
+}
+
 class membership_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(membership_test);
@@ -71,6 +86,7 @@
     CPPUNIT_TEST(regionsReconnectAfterAnHourApart);
     CPPUNIT_TEST(survivesLossOfHalfAndReplacementOfAll);
     CPPUNIT_TEST(leavingEndpointIsKnownToAllInstances);
+    CPPUNIT_TEST(leavingEndpointIsKnownDespiteUnluckyLoss);
     CPPUNIT_TEST(versionsConverge);
     CPPUNIT_TEST(changeCrossesRegionsTwiceOnAverage);
     CPPUNIT_TEST(aLargeChangeSpreadsOverSmallLinks);
@@ -383,19 +399,16 @@
     void leavingEndpointIsKnownToAllInstances()
     {
         testing::checkProperty("every instance learns within 3 s that an endpoint leaves", [] {
-            fleet all(*rc::gen::arbitrary<std::uint64_t>());
-            addAll(all, 3);
-            all.dropRate = 0.1;
-            all.duplicateRate = 0.2;
-            all.run(4s);
-            all.at("n0").members->announceLeaving({pool_name("quotes"), {"10.1.1.1", 80}, {}}, all.now());
-            all.run(3s);
-            std::ranges::for_each(all.live(), [&](const fleet_instance *instance) {
-                RC_ASSERT(instance->name == "n0" || instance->leavingAt.contains("10.1.1.1:80"));
-            });
+            RC_ASSERT(instancesWithoutLeavingNotice(*rc::gen::arbitrary<std::uint64_t>()) == 0);
         });
     }
 
+    // Guards against a notice of a leaving endpoint that never reaches one instance: the seed of a run of the property above that failed.
+    void leavingEndpointIsKnownDespiteUnluckyLoss()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t {0}, instancesWithoutLeavingNotice(350745585488998));
+    }
+
     void versionsConverge()
     {
         testing::checkProperty("accepted versions reach all within 4 s and never go back", [] {
