Name the stop as the reason of a stream that it cuts, and say more exactly what bounds late calls

- A streamed answer that the stop cut counted as a bad answer of its target or as a caller that had gone, and its line had no status.
- `stop_bounds::countsFrom` was `requested`, which it may lie before.

--- a/include/sequoiawharf/slot_wait.h
+++ b/include/sequoiawharf/slot_wait.h
@@ -15,7 +15,7 @@
     mono_time objectiveAt {}; ///< Time until which the answer meets the route's latency objective.
     mono_time deadline {};
     mono_time stopAt = mono_time::max(); ///< Time by which the instance must have answered all calls because it stops.
-    mono_time arrived {};
+    mono_time arrived {}; ///< When the request had been read, including the held part of its body.
     mono_time lastArrival = mono_time::max(); ///< Time after which a stopping instance takes only calls whose deadline is before stopAt.
     std::chrono::nanoseconds unloadedLatency {0}; ///< Average latency of the pool's calls at an idle endpoint; 0 means unknown.
     std::size_t callsAhead = 0; ///< Calls of the pool that are already waiting on this thread.
--- a/include/sequoiawharf/stop_plan.h
+++ b/include/sequoiawharf/stop_plan.h
@@ -16,9 +16,9 @@
     Finished, ///< No calls are in flight, or the deadline has passed.
 };
 
-/// The bounds that a planned stop sets to calls; mono_time::max() in all of them: there is no stop.
+/// The bounds that a planned stop sets to calls. A bound that is mono_time::max() is not set.
 struct stop_bounds {
-    mono_time requested = mono_time::max(); ///< The time from which the stop counts.
+    mono_time countsFrom = mono_time::max(); ///< The earliest time at which the stop may have been requested.
     mono_time lastArrival = mono_time::max(); ///< A call that arrives later is served only if its deadline is before answerBy.
     mono_time answerBy = mono_time::max(); ///< Every call must have been answered by then.
 };
@@ -61,7 +61,7 @@
     std::chrono::milliseconds m_lifetime;
     std::chrono::milliseconds m_deadline;
     stop_phase m_phase = stop_phase::Serving;
-    mono_time m_requested;
+    mono_time m_countsFrom;
     mono_time m_lastArrival;
     mono_time m_drainAt;
     mono_time m_cutAt;
--- a/src/membership/stop_plan.cpp
+++ b/src/membership/stop_plan.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::chrono::seconds kRepeatedRequestDeadline {5};
-constexpr std::chrono::seconds kMinShortenedDeadline {10}; ///< A stop of at most this deadline keeps it when the request is repeated.
+constexpr std::chrono::seconds kMaxUnshortenedDeadline {10}; ///< A stop of at most this deadline keeps it when the request is repeated.
 
 /// Callers may hold an answer that was on its way when the instance left the directory.
 constexpr std::chrono::milliseconds kAnswerLatency {500};
@@ -30,7 +30,7 @@
 {
     if (m_phase == stop_phase::Serving) {
         m_phase = stop_phase::Announced;
-        m_requested = sentSince;
+        m_countsFrom = sentSince;
         m_lastArrival = sentSince + m_lifetime;
         m_cutAt = sentSince + m_deadline;
         m_drainAt = std::min(now + m_lifetime + kAnswerLatency, answerBy());
@@ -38,7 +38,7 @@
     }
     m_lastArrival = std::min(m_lastArrival, now);
     m_drainAt = std::min(m_drainAt, now);
-    if (m_deadline > kMinShortenedDeadline) {
+    if (m_deadline > kMaxUnshortenedDeadline) {
         m_cutAt = std::min(m_cutAt, now + kRepeatedRequestDeadline);
     }
 }
@@ -50,7 +50,7 @@
 
 stop_bounds stop_plan::bounds() const
 {
-    return {.requested = m_requested, .lastArrival = m_lastArrival, .answerBy = answerBy()};
+    return {.countsFrom = m_countsFrom, .lastArrival = m_lastArrival, .answerBy = answerBy()};
 }
 
 stop_phase stop_plan::update(std::size_t inFlight, mono_time now)
--- a/src/shell/gateway/call_answer.cpp
+++ b/src/shell/gateway/call_answer.cpp
@@ -121,8 +121,7 @@
         const auto count = co_await exchange.read(buffer);
         if (!count) {
             m_answer.abort();
-            const bool hasTimedOut = m_watch->now() == call_watch::state::TimedOut;
-            co_return finish(call_ending::Unknown, hasTimedOut ? call_reason::DeadlinePassed : call_reason::BadAnswer);
+            co_return finish(call_ending::Unknown, cutReason(call_reason::BadAnswer), exchange.head().status);
         }
         if (*count == 0) {
             sent = co_await m_answer.finish();
@@ -139,11 +138,25 @@
     finishUndelivered();
 }
 
+// Returns why an answer was not delivered whole: the end of the call's time or of the instance, or else the given reason.
+call_reason call_run::cutReason(call_reason otherwise) const
+{
+    switch (m_watch->now()) {
+    case call_watch::state::TimedOut:
+        return call_reason::DeadlinePassed;
+    case call_watch::state::Stopping:
+        return call_reason::Stopping;
+    case call_watch::state::Running:
+    case call_watch::state::CallerGone:
+        break;
+    }
+    return otherwise;
+}
+
 // Ends a call whose answer could not be sent to the caller.
 void call_run::finishUndelivered()
 {
-    const bool hasTimedOut = m_watch->now() == call_watch::state::TimedOut;
-    finish(call_ending::Unknown, hasTimedOut ? call_reason::DeadlinePassed : call_reason::CallerGone);
+    finish(call_ending::Unknown, cutReason(call_reason::CallerGone));
 }
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/call_engine.cpp
+++ b/src/shell/gateway/call_engine.cpp
@@ -68,7 +68,7 @@
 
 void call_engine::beginStop(const stop_bounds &bounds)
 {
-    m_stopBounds.requested = std::min(m_stopBounds.requested, bounds.requested);
+    m_stopBounds.countsFrom = std::min(m_stopBounds.countsFrom, bounds.countsFrom);
     m_stopBounds.lastArrival = std::min(m_stopBounds.lastArrival, bounds.lastArrival);
     m_stopBounds.answerBy = std::min(m_stopBounds.answerBy, bounds.answerBy);
     std::ranges::for_each(m_calls, [&](running_call &call) {
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -275,7 +275,7 @@
                             m_record.attempts(),
                             ms(std::chrono::steady_clock::now() - m_head.received));
     if (const auto &bounds = m_engine.stopBounds(); bounds.answerBy != mono_time::max()) {
-        text += fmt::format(" arrived_in_stop_ms={}", ms(m_head.received - bounds.requested));
+        text += fmt::format(" arrived_in_stop_ms={}", ms(m_head.received - bounds.countsFrom));
     }
     if (!m_balancer) {
         return text;
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -79,6 +79,7 @@
     boost::asio::awaitable<void> forwardStream(call_attempt &winner);
     boost::asio::awaitable<void> refuse(refusal response);
     void finish(call_ending ending, call_reason reason, unsigned status = 0);
+    call_reason cutReason(call_reason otherwise) const;
     void finishUndelivered();
     std::string endingDetail(call_ending ending, call_reason reason, unsigned status) const;
     void record(event_kind kind, std::string detail) const;
@@ -92,7 +93,7 @@
     balancer_ptr m_balancer;
     const route *m_route = nullptr;
     call_profile m_profile;
-    mono_time m_arrived {}; ///< When the request had been read, including the part of its body that is held.
+    mono_time m_arrived {}; ///< When the request had been read, including the held part of its body. Set by findRoute() and holdBody().
     std::optional<request_body> m_body;
     std::optional<call_watch> m_watch;
     call_record m_record;
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -298,7 +298,7 @@
     const auto detail = fmt::format("signal={} calls_in_flight={} counts_from_ms={} answers_by_ms={}",
                                     number,
                                     m_gateway.callsInFlight(),
-                                    ms(bounds.requested - now),
+                                    ms(bounds.countsFrom - now),
                                     ms(bounds.answerBy - now));
     logTo(log_level::Info, kInstancePart, "Stopping. {}", detail);
     record(event_kind::StopStarted, detail);
