--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -403,7 +403,7 @@
         });
     }
 
-    // Guards against a notice of a leaving endpoint that never reaches one instance: the seed of a run of the property above that failed.
+    // Guards against a notice of a leaving endpoint that some instances don't hear in time: the seed of a run of the property above that failed.
     void leavingEndpointIsKnownDespiteUnluckyLoss()
     {
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t {0}, instancesWithoutLeavingNotice(350745585488998));
