Add organisations with keys, homes and quotas to the configuration, and check keys at the entry

Purpose: callers of some deployments belong to organisations, whose keys, ranks, quotas and homes the configuration holds.

Change: the table of organisations is decoded from the operator's configuration, validated, passed between instances in full and as a change, and indexed by a keyed hash. Where it has rows, a call on a route that is not public needs a key: without one it ends as not run with status 401. The key is removed from what is forwarded, and the target gets the organisation's name.

--- a/include/sequoiawharf/call_ending.h
+++ b/include/sequoiawharf/call_ending.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace sequoiawharf
@@ -12,7 +13,7 @@
     Unknown, ///< A target may have run the call, but no complete answer was received.
 };
 
-/// Why a call was refused or failed.
+/// Why a call was refused or failed. Instances tell each other the names, so that reasons of later builds are unknown to earlier ones.
 enum class call_reason {
     None,
     BadRequest,
@@ -31,8 +32,13 @@
     CallerGone,
     LinkUnavailable,
     Stopping,
+    UnknownKey,
+    ConfigurationStale,
+    QuotaExceeded,
 };
 
+inline constexpr std::size_t kCallReasonCount = static_cast<std::size_t>(call_reason::QuotaExceeded) + 1;
+
 /// Returns "answered", "not-run" or "unknown". Thread safe.
 std::string_view toString(call_ending ending);
 
--- a/include/sequoiawharf/configuration.h
+++ b/include/sequoiawharf/configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/organisation_table.h"
 #include "sequoiawharf/pool_table.h"
 #include "sequoiawharf/route_table.h"
 
@@ -19,12 +20,13 @@
     friend bool operator==(const caller_bounds &, const caller_bounds &) = default;
 };
 
-/// The route table and the pool table of one version. Immutable and shared between threads.
+/// The tables of one version. Immutable and shared between threads.
 struct configuration {
     config_version version = 0;
     route_table routes;
     pool_table pools;
     caller_bounds callers {};
+    organisation_table organisations {}; ///< Empty: calls need no key.
 
     friend bool operator==(const configuration &, const configuration &) = default;
 };
@@ -37,6 +39,9 @@
     friend bool operator==(const table_fault &, const table_fault &) = default;
 };
 
+/// Validates the organisations: names and keys must be unique, and keys must not be empty. Returns one fault for each broken rule. Thread safe.
+std::vector<table_fault> validate(const organisation_table &organisations);
+
 /// Validates both tables together. Returns one fault for each broken rule, such as an unknown pool, a duplicate name or a value out of range;
 /// empty when the tables are valid. Thread safe.
 std::vector<table_fault> validate(const route_table &routes, const pool_table &pools);
--- a/include/sequoiawharf/configuration_record.h
+++ b/include/sequoiawharf/configuration_record.h
@@ -31,6 +31,8 @@
     std::vector<pool> poolsSet; ///< Added, or replacing the pool of the same name.
     std::vector<pool_name> poolsRemoved;
     std::vector<pool_patch> poolsPatched;
+    std::vector<organisation> organisationsSet {}; ///< Added, or replacing the organisation of the same name.
+    std::vector<organisation_name> organisationsRemoved {};
 
     /// Returns whether the delta changes nothing. Thread safe.
     bool empty() const;
@@ -38,10 +40,11 @@
     friend bool operator==(const table_delta &, const table_delta &) = default;
 };
 
-/// Both tables in full; as a change, they replace the tables in force.
+/// All tables in full; as a change, they replace the tables in force.
 struct whole_tables {
     route_table routes;
     pool_table pools;
+    organisation_table organisations {};
 
     friend bool operator==(const whole_tables &, const whole_tables &) = default;
 };
@@ -96,7 +99,7 @@
 tl::expected<configuration, std::vector<table_fault>> applyTrustedDelta(const configuration &from, const table_delta &delta, config_version version);
 
 /// Returns the delta that turns the tables of `from` into the given tables. A pool of which only some endpoints differ is patched. Thread safe.
-table_delta makeDelta(const configuration &from, const route_table &routes, const pool_table &pools);
+table_delta makeDelta(const configuration &from, const whole_tables &to);
 
 /// Returns one line of text for each row that the delta changes, such as "pool quotes: endpoint 127.0.0.1:9000 added". Thread safe.
 std::vector<std::string> describe(const table_delta &delta, const configuration &from);
--- a/include/sequoiawharf/ids.h
+++ b/include/sequoiawharf/ids.h
@@ -39,6 +39,7 @@
 using data_centre_id = name_of<struct data_centre_tag>;
 using route_name = name_of<struct route_tag>;
 using pool_name = name_of<struct pool_tag>;
+using organisation_name = name_of<struct organisation_tag>;
 using caller_id = name_of<struct caller_tag>;
 using publication_id = name_of<struct publication_tag>;
 
--- a/include/sequoiawharf/pool_table.h
+++ b/include/sequoiawharf/pool_table.h
@@ -34,6 +34,8 @@
     std::string loadPath; ///< Path of the page on which an endpoint reports its load; empty: none.
     std::string probePath; ///< Path of the page that is probed right before a call is sent; empty: no probing.
     std::vector<std::uint16_t> notRunStatuses; ///< Statuses of answers that mean that the target did not run the call.
+    std::chrono::milliseconds warmupTime {0}; ///< How long an endpoint stays cold after its start; 0: not limited while it is cold.
+    double coldCallsPerSecond = 0; ///< Rate that a cold endpoint tolerates from all instances together; 0: unlimited.
     std::vector<endpoint> endpoints; ///< Ordered by address.
 
     friend bool operator==(const pool &, const pool &) = default;
--- a/include/sequoiawharf/route_table.h
+++ b/include/sequoiawharf/route_table.h
@@ -42,6 +42,8 @@
     std::uint64_t maxBodyBytes = 1U << 20U;
     unsigned maxAttempts = 0; ///< Most endpoints that one call may be sent to; 0: limited by the pool only.
     std::chrono::milliseconds latencyObjective {0}; ///< Target time for an answer; 0: none.
+    bool isPublic = false; ///< Calls need no key although the configuration holds organisations.
+    std::vector<region_id> homes {}; ///< The only regions whose endpoints may serve the calls; empty: all.
 
     friend bool operator==(const route &, const route &) = default;
 };
--- a/include/sequoiawharf/routing.h
+++ b/include/sequoiawharf/routing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/configuration.h"
+#include "sequoiawharf/key_index.h"
 #include "sequoiawharf/pool_balancer.h"
 
 #include <memory>
@@ -18,12 +19,13 @@
 
     /// Creates the routing of a configuration for an instance at place. A pool keeps its balancer of the previous routing if its definition, the place
     /// and the policy are unchanged; otherwise it gets a new balancer, which keeps the state of endpoints that are in the previous one too.
-    /// Precondition: config and policy are not null.
+    /// keySeed: secret seed of the index of keys, drawn once per process. Precondition: config and policy are not null.
     routing(std::shared_ptr<const configuration> config,
             const locality &place,
             const std::shared_ptr<const selection_policy> &policy,
             const routing &previous,
-            mono_time now);
+            mono_time now,
+            std::uint64_t keySeed = 0);
 
     const configuration &config() const
     {
@@ -36,6 +38,12 @@
         return m_place;
     }
 
+    /// Returns the organisation that holds the key, or null. It lives as long as the routing. Thread safe.
+    const organisation *findOrganisation(std::string_view key) const
+    {
+        return m_keys->find(key);
+    }
+
     /// Marks the endpoints at the address as leaving in all pools, so that they get no new calls. Thread safe; the cost is linear in the number of
     /// pools.
     void markLeaving(const host_port &address, mono_time now) const;
@@ -56,6 +64,7 @@
     std::shared_ptr<const configuration> m_config;
     locality m_place;
     std::shared_ptr<const selection_policy> m_policy;
+    std::shared_ptr<const key_index> m_keys; ///< Shared with the previous routing while the organisations are the same.
     std::unordered_map<pool_name, std::shared_ptr<const pool_balancer>> m_balancers;
 };
 
--- a/src/call/call_ending.cpp
+++ b/src/call/call_ending.cpp
@@ -53,6 +53,12 @@
         return "link-unavailable";
     case call_reason::Stopping:
         return "stopping";
+    case call_reason::UnknownKey:
+        return "unknown-key";
+    case call_reason::ConfigurationStale:
+        return "configuration-stale";
+    case call_reason::QuotaExceeded:
+        return "quota-exceeded";
     }
     return "none";
 }
--- a/src/call/routing.cpp
+++ b/src/call/routing.cpp
@@ -9,6 +9,7 @@
 
 routing::routing()
     : m_config(std::make_shared<const configuration>())
+    , m_keys(std::make_shared<const key_index>())
 {
 }
 
@@ -16,11 +17,14 @@
                  const locality &place,
                  const std::shared_ptr<const selection_policy> &policy,
                  const routing &previous,
-                 mono_time now)
+                 mono_time now,
+                 std::uint64_t keySeed)
     : m_config(std::move(config))
     , m_place(place)
     , m_policy(policy)
 {
+    m_keys
+        = m_config->organisations == previous.m_config->organisations ? previous.m_keys : std::make_shared<const key_index>(m_config->organisations, keySeed);
     const bool isSamePlace = place == previous.m_place && policy == previous.m_policy;
     std::ranges::for_each(m_config->pools.pools(), [&](const pool &entry) {
         auto old = previous.find(entry.name);
--- a/src/cli/diff_command.cpp
+++ b/src/cli/diff_command.cpp
@@ -31,7 +31,7 @@
 private:
     static void print(const configuration &from, const whole_tables &to, bool asJson)
     {
-        const auto lines = describe(makeDelta(from, to.routes, to.pools), from);
+        const auto lines = describe(makeDelta(from, to), from);
         if (asJson) {
             fmt::print("{}\n", boost::json::serialize(boost::json::object {{"from", from.version}, {"changes", toJson(lines)}}));
             return;
@@ -77,7 +77,7 @@
         fmt::print(stderr, "sequoiawharf: the log does not contain the requested version\n");
         return exit_code::Failed;
     }
-    print(*left, right ? whole_tables {right->routes, right->pools} : *files, common.json());
+    print(*left, right ? whole_tables {right->routes, right->pools, right->organisations} : *files, common.json());
     return exit_code::Done;
 }
 
--- a/src/cli/show_command.cpp
+++ b/src/cli/show_command.cpp
@@ -91,7 +91,7 @@
     static void print(const configuration &config, const std::string &kind, bool json)
     {
         if (json) {
-            fmt::print("{}\n", encodeRecord(state_record {config.version, config.version, {config.routes, config.pools}}));
+            fmt::print("{}\n", encodeRecord(state_record {config.version, config.version, {config.routes, config.pools, config.organisations}}));
         } else if (kind == "version") {
             fmt::print("{}\n", config.version);
         } else {
--- a/src/config/apply_change.cpp
+++ b/src/config/apply_change.cpp
@@ -40,6 +40,7 @@
 {
     changed_names<route_name> routes("route", faults);
     changed_names<pool_name> pools("pool", faults);
+    changed_names<organisation_name> organisations("organisation", faults);
     const auto addRoute = [&](const route_name &name) {
         routes.add(name);
     };
@@ -51,6 +52,11 @@
     std::ranges::for_each(delta.poolsSet, addPool, &pool::name);
     std::ranges::for_each(delta.poolsRemoved, addPool);
     std::ranges::for_each(delta.poolsPatched, addPool, &pool_patch::pool);
+    const auto addOrganisation = [&](const organisation_name &name) {
+        organisations.add(name);
+    };
+    std::ranges::for_each(delta.organisationsSet, addOrganisation, &organisation::name);
+    std::ranges::for_each(delta.organisationsRemoved, addOrganisation);
 }
 
 void checkRemovedExist(const table_delta &delta, const configuration &from, fault_list &faults)
@@ -65,6 +71,11 @@
             faults.push_back({fmt::format("pool \"{}\" cannot be removed: it does not exist", name.str()), 0});
         }
     });
+    std::ranges::for_each(delta.organisationsRemoved, [&](const organisation_name &name) {
+        if (from.organisations.find(name) == nullptr) {
+            faults.push_back({fmt::format("organisation \"{}\" cannot be removed: it does not exist", name.str()), 0});
+        }
+    });
 }
 
 void applyTo(pool &entry, const pool_patch &patch, fault_list &faults)
@@ -119,6 +130,9 @@
         });
     }
     checkSizes(next.routes, next.pools, faults);
+    if (!delta.organisationsSet.empty()) {
+        std::ranges::copy(validate(next.organisations), std::back_inserter(faults));
+    }
 }
 
 change_result applyDelta(const configuration &from, const table_delta &delta, config_version version)
@@ -138,10 +152,12 @@
 change_result applyWhole(const whole_tables &tables, config_version version)
 {
     auto faults = validate(tables.routes, tables.pools);
+    std::ranges::copy(validate(tables.organisations), std::back_inserter(faults));
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
-    return std::make_shared<const configuration>(configuration {version, tables.routes, tables.pools});
+    return std::make_shared<const configuration>(
+        configuration {.version = version, .routes = tables.routes, .pools = tables.pools, .organisations = tables.organisations});
 }
 
 } // namespace
@@ -158,7 +174,8 @@
     return configuration {.version = version,
                           .routes = from.routes.with(delta.routesSet, delta.routesRemoved),
                           .pools = from.pools.with(std::move(pools), delta.poolsRemoved),
-                          .callers = from.callers};
+                          .callers = from.callers,
+                          .organisations = from.organisations.with(delta.organisationsSet, delta.organisationsRemoved)};
 }
 
 change_result applyChange(const configuration &from, const std::variant<whole_tables, table_delta> &change, config_version version)
--- a/src/config/configuration_history.cpp
+++ b/src/config/configuration_history.cpp
@@ -15,7 +15,7 @@
 // Returns the configuration with the rows that it has in common with another one shared.
 std::shared_ptr<const configuration> sharingRows(const configuration &from, configuration next)
 {
-    auto shared = applyTrustedDelta(from, makeDelta(from, next.routes, next.pools), next.version);
+    auto shared = applyTrustedDelta(from, makeDelta(from, {next.routes, next.pools, next.organisations}), next.version);
     if (!shared) {
         return std::make_shared<const configuration>(std::move(next));
     }
@@ -49,7 +49,7 @@
     if (version == 0 || base == m_versions.end() || version >= current()->version) {
         return std::nullopt;
     }
-    return makeDelta(**base, current()->routes, current()->pools);
+    return makeDelta(**base, {current()->routes, current()->pools, current()->organisations});
 }
 
 } // namespace sequoiawharf
--- a/src/config/configuration_state.cpp
+++ b/src/config/configuration_state.cpp
@@ -159,7 +159,8 @@
         m_chain.clear();
         m_chainBytes = 0;
         m_chainBase = state.version;
-        m_current = std::make_shared<const configuration>(configuration {state.version, state.tables.routes, state.tables.pools});
+        m_current = std::make_shared<const configuration>(
+            configuration {.version = state.version, .routes = state.tables.routes, .pools = state.tables.pools, .organisations = state.tables.organisations});
     }
     advanceTo(state.asOf);
     return isNewer;
--- a/src/config/publisher.cpp
+++ b/src/config/publisher.cpp
@@ -116,7 +116,7 @@
         report.problem = "the log holds no state record from which the version in force can be read";
         return false;
     }
-    const auto delta = makeDelta(*m_base, request.tables.routes, request.tables.pools);
+    const auto delta = makeDelta(*m_base, request.tables);
     if (delta.empty()) {
         report.outcome = publish_outcome::Unchanged;
         return false;
@@ -199,7 +199,7 @@
         report.winner = *winner;
     }
     if (m_base) {
-        report.winnerChanges = describe(makeDelta(*m_base, inForce.routes, inForce.pools), *m_base);
+        report.winnerChanges = describe(makeDelta(*m_base, {inForce.routes, inForce.pools, inForce.organisations}), *m_base);
     }
 }
 
--- a/src/config/record_decode.cpp
+++ b/src/config/record_decode.cpp
@@ -47,6 +47,27 @@
     return value == nullptr ? 0 : fields.numberOf(*value, key, high);
 }
 
+double readOptionalReal(json_fields &fields, const char *key)
+{
+    const auto *const value = fields.find(key);
+    json::error_code error;
+    const auto number = value == nullptr ? 0.0 : value->to_number<double>(error);
+    if (error || !(number >= 0)) {
+        fields.fail(fmt::format("\"{}\" is not a number from 0 up", key));
+        return 0;
+    }
+    return number;
+}
+
+std::vector<region_id> readHomes(json_fields &fields)
+{
+    std::vector<region_id> homes;
+    fields.forEach(keys::kHomes, [&](const json::value &home) {
+        homes.emplace_back(fields.textOf(home, keys::kHomes));
+    });
+    return homes;
+}
+
 pool_share_weight readShare(const json::value &value, fault_slot &fault)
 {
     json_fields fields(value, "split", fault);
@@ -85,6 +106,8 @@
         }
     }
     rule.maxBodyBytes = fields.number(keys::kMaxBodyBytes, kMaxNumber);
+    rule.isPublic = readFlag(fields, keys::kPublic);
+    rule.homes = readHomes(fields);
     fields.rejectUnknown();
     return rule;
 }
@@ -135,6 +158,8 @@
     fields.forEach(keys::kNotRunStatuses, [&](const json::value &status) {
         entry.notRunStatuses.push_back(static_cast<std::uint16_t>(fields.numberOf(status, keys::kNotRunStatuses, kMax16)));
     });
+    entry.warmupTime = std::chrono::milliseconds(readOptionalNumber(fields, keys::kWarmupMs, kMax32));
+    entry.coldCallsPerSecond = readOptionalReal(fields, keys::kColdCallsPerSecond);
     fields.require(keys::kEndpoints);
     entry.endpoints = readEndpoints(fields, keys::kEndpoints);
     fields.rejectUnknown();
@@ -154,10 +179,31 @@
     return patch;
 }
 
+organisation readOrganisation(const json::value &value, fault_slot &fault)
+{
+    organisation entry;
+    json_fields fields(value, "organisation", fault);
+    entry.name = organisation_name(fields.text(keys::kName));
+    fields.forEach(keys::kKeys, [&](const json::value &key) {
+        entry.keys.push_back(fields.textOf(key, keys::kKeys));
+    });
+    if (fields.find(keys::kClass) != nullptr) {
+        entry.priority = parseRouteClass(fields.text(keys::kClass));
+        if (!entry.priority) {
+            fields.fail("\"class\" is not urgent, normal or bulk");
+        }
+    }
+    entry.quota = {readOptionalReal(fields, keys::kCallsPerSecond), readOptionalReal(fields, keys::kBurst)};
+    entry.homes = readHomes(fields);
+    fields.rejectUnknown();
+    return entry;
+}
+
 whole_tables readTables(const json::value &value, fault_slot &fault)
 {
     std::vector<route> routes;
     std::vector<pool> pools;
+    std::vector<organisation> organisations;
     json_fields fields(value, "tables", fault);
     fields.require(keys::kRoutes);
     fields.require(keys::kPools);
@@ -167,8 +213,11 @@
     fields.forEach(keys::kPools, [&](const json::value &row) {
         pools.push_back(readPool(row, fault));
     });
+    fields.forEach(keys::kOrganisations, [&](const json::value &row) {
+        organisations.push_back(readOrganisation(row, fault));
+    });
     fields.rejectUnknown();
-    return {route_table(std::move(routes)), pool_table(std::move(pools))};
+    return {route_table(std::move(routes)), pool_table(std::move(pools)), organisation_table(std::move(organisations))};
 }
 
 table_delta readDelta(const json::value &value, fault_slot &fault)
@@ -190,6 +239,12 @@
     fields.forEach(keys::kPoolsPatched, [&](const json::value &patch) {
         delta.poolsPatched.push_back(readPatch(patch, fault));
     });
+    fields.forEach(keys::kOrganisationsSet, [&](const json::value &row) {
+        delta.organisationsSet.push_back(readOrganisation(row, fault));
+    });
+    fields.forEach(keys::kOrganisationsRemoved, [&](const json::value &name) {
+        delta.organisationsRemoved.emplace_back(fields.textOf(name, keys::kOrganisationsRemoved));
+    });
     fields.rejectUnknown();
     return delta;
 }
--- a/src/config/record_encode.cpp
+++ b/src/config/record_encode.cpp
@@ -37,7 +37,7 @@
     }
 }
 
-json::string nameText(const auto &name)
+template<typename name_type> json::string nameText(const name_type &name)
 {
     return json::string(textOf(name.str()));
 }
@@ -77,6 +77,10 @@
     if (rule.latencyObjective.count() > 0) {
         out[keys::kObjectiveMs] = rule.latencyObjective.count();
     }
+    if (rule.isPublic) {
+        out[keys::kPublic] = true;
+    }
+    addUnlessEmpty(out, keys::kHomes, toArray(rule.homes, nameText<region_id>));
     return out;
 }
 
@@ -114,6 +118,12 @@
     addUnlessEmpty(out, keys::kNotRunStatuses, toArray(entry.notRunStatuses, [](std::uint16_t status) {
                        return json::value(status);
                    }));
+    if (entry.warmupTime.count() > 0) {
+        out[keys::kWarmupMs] = entry.warmupTime.count();
+    }
+    if (entry.coldCallsPerSecond > 0) {
+        out[keys::kColdCallsPerSecond] = entry.coldCallsPerSecond;
+    }
     addEndpoints(out, keys::kEndpoints, entry.endpoints);
     return out;
 }
@@ -129,6 +139,24 @@
     return out;
 }
 
+json::object toJson(const organisation &entry)
+{
+    json::object out;
+    out[keys::kName] = nameText(entry.name);
+    addUnlessEmpty(out, keys::kKeys, toArray(entry.keys, [](const std::string &key) {
+                       return json::string(textOf(key));
+                   }));
+    if (entry.priority) {
+        out[keys::kClass] = textOf(toString(*entry.priority));
+    }
+    if (entry.quota.isSet()) {
+        out[keys::kCallsPerSecond] = entry.quota.perSecond;
+        out[keys::kBurst] = entry.quota.burst;
+    }
+    addUnlessEmpty(out, keys::kHomes, toArray(entry.homes, nameText<region_id>));
+    return out;
+}
+
 json::object toJson(const whole_tables &tables)
 {
     json::object out;
@@ -138,6 +166,10 @@
     out[keys::kPools] = toArray(tables.pools.pools(), [](const pool &entry) {
         return toJson(entry);
     });
+    // Left out when empty, so that instances of earlier builds can read the tables of deployments without organisations.
+    addUnlessEmpty(out, keys::kOrganisations, toArray(tables.organisations.organisations(), [](const organisation &entry) {
+                       return toJson(entry);
+                   }));
     return out;
 }
 
@@ -155,6 +187,8 @@
     addUnlessEmpty(out, keys::kPoolsSet, toArray(delta.poolsSet, row));
     addUnlessEmpty(out, keys::kPoolsRemoved, toArray(delta.poolsRemoved, name));
     addUnlessEmpty(out, keys::kPoolsPatched, toArray(delta.poolsPatched, row));
+    addUnlessEmpty(out, keys::kOrganisationsSet, toArray(delta.organisationsSet, row));
+    addUnlessEmpty(out, keys::kOrganisationsRemoved, toArray(delta.organisationsRemoved, name));
     return out;
 }
 
--- a/src/config/record_keys.h
+++ b/src/config/record_keys.h
@@ -43,6 +43,16 @@
 inline constexpr const char *kNotRunStatuses = "not_run_statuses";
 inline constexpr const char *kEndpoints = "endpoints";
 inline constexpr const char *kLeaving = "leaving";
+inline constexpr const char *kOrganisations = "organisations";
+inline constexpr const char *kOrganisationsSet = "organisations_set";
+inline constexpr const char *kOrganisationsRemoved = "organisations_removed";
+inline constexpr const char *kKeys = "keys";
+inline constexpr const char *kCallsPerSecond = "calls_per_second";
+inline constexpr const char *kBurst = "burst";
+inline constexpr const char *kHomes = "homes";
+inline constexpr const char *kPublic = "public";
+inline constexpr const char *kWarmupMs = "warmup_ms";
+inline constexpr const char *kColdCallsPerSecond = "cold_calls_per_second";
 inline constexpr const char *kSet = "set";
 inline constexpr const char *kRemoved = "removed";
 
--- a/src/config/table_delta.cpp
+++ b/src/config/table_delta.cpp
@@ -11,7 +11,8 @@
 
 bool differOnlyInEndpoints(const pool &a, const pool &b)
 {
-    return a.slots == b.slots && a.maxConnections == b.maxConnections && a.loadPath == b.loadPath && a.notRunStatuses == b.notRunStatuses;
+    return a.slots == b.slots && a.maxConnections == b.maxConnections && a.loadPath == b.loadPath && a.probePath == b.probePath
+           && a.notRunStatuses == b.notRunStatuses && a.warmupTime == b.warmupTime && a.coldCallsPerSecond == b.coldCallsPerSecond;
 }
 
 const endpoint *findEndpoint(const pool &entry, const host_port &address)
@@ -75,8 +76,9 @@
     return *this == table_delta {};
 }
 
-table_delta makeDelta(const configuration &from, const route_table &routes, const pool_table &pools)
+table_delta makeDelta(const configuration &from, const whole_tables &to)
 {
+    const auto &[routes, pools, organisations] = to;
     table_delta delta;
     std::ranges::for_each(routes.routes(), [&](const route &rule) {
         const auto *const existing = from.routes.find(rule.name);
@@ -97,6 +99,17 @@
             delta.poolsRemoved.push_back(entry.name);
         }
     });
+    std::ranges::for_each(organisations.organisations(), [&](const organisation &entry) {
+        const auto *const existing = from.organisations.find(entry.name);
+        if (existing == nullptr || (existing != &entry && *existing != entry)) {
+            delta.organisationsSet.push_back(entry);
+        }
+    });
+    std::ranges::for_each(from.organisations.organisations(), [&](const organisation &entry) {
+        if (to.organisations.find(entry.name) == nullptr) {
+            delta.organisationsRemoved.push_back(entry.name);
+        }
+    });
     return delta;
 }
 
@@ -120,6 +133,13 @@
     std::ranges::for_each(delta.poolsPatched, [&](const pool_patch &patch) {
         describePatch(patch, from, lines);
     });
+    std::ranges::for_each(delta.organisationsRemoved, [&](const organisation_name &name) {
+        lines.push_back(fmt::format("organisation {} removed", name.str()));
+    });
+    std::ranges::for_each(delta.organisationsSet, [&](const organisation &entry) {
+        const bool exists = from.organisations.find(entry.name) != nullptr;
+        lines.push_back(fmt::format("organisation {} {}: {} keys", entry.name.str(), exists ? "changed" : "added", entry.keys.size()));
+    });
     return lines;
 }
 
--- a/src/config/validate.cpp
+++ b/src/config/validate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <ranges>
 
 namespace sequoiawharf
@@ -181,6 +182,32 @@
     }
 }
 
+std::vector<table_fault> validate(const organisation_table &organisations)
+{
+    std::vector<table_fault> faults;
+    const auto rows = organisations.organisations();
+    if (rows.size() > kMaxRows) {
+        add(faults, fmt::format("the table of organisations has more than {} rows", kMaxRows));
+    }
+    checkDuplicateNames(rows, &organisation::name, "organisation", faults);
+    std::map<std::string_view, std::string_view> owners; // of the keys, which the messages must not contain
+    std::ranges::for_each(rows, [&](const organisation &entry) {
+        if (entry.name.empty()) {
+            add(faults, "an organisation has no name");
+        }
+        checkName("organisation", entry.name.str(), faults);
+        std::ranges::for_each(entry.keys, [&](const std::string &key) {
+            const auto [owner, isNew] = owners.try_emplace(key, entry.name.str());
+            if (key.empty()) {
+                add(faults, fmt::format("organisation \"{}\" has an empty key", entry.name.str()));
+            } else if (!isNew) {
+                add(faults, fmt::format("organisation \"{}\" has a key that organisation \"{}\" has too", entry.name.str(), owner->second));
+            }
+        });
+    });
+    return faults;
+}
+
 std::vector<table_fault> validate(const route_table &routes, const pool_table &pools)
 {
     std::vector<table_fault> faults;
--- a/src/shell/call_stream.h
+++ b/src/shell/call_stream.h
@@ -35,6 +35,8 @@
     std::string path; ///< The path with its query, as received.
     header_list headers; ///< End-to-end fields only.
     caller_id caller;
+    std::string key; ///< Secret that the caller presented; empty: none. Never forwarded or logged.
+    organisation_name organisation; ///< Organisation that holds the key; empty: none is known.
     mono_time received;
     std::optional<std::chrono::milliseconds> callerTimeout; ///< The time limit that the caller set, counted from received.
     unsigned depth = 0; ///< Number of calls in the chain of callers above this one.
--- a/src/shell/gateway/call_dialect.h
+++ b/src/shell/gateway/call_dialect.h
@@ -19,6 +19,7 @@
     std::optional<call_id> id; ///< Unset: the gateway generates one.
     std::string label; ///< The caller's own identifier of the call, which the answer must repeat; empty: none.
     caller_id caller;
+    std::string key; ///< Secret that the caller presented; empty: none.
     std::optional<std::uint64_t> deadlineMs; ///< The time that the caller waits, counted from the receipt of the head.
     std::uint64_t depth = 0; ///< Number of calls in the chain of callers above this one.
 };
@@ -61,6 +62,10 @@
     /// Returns whether a field belongs to the dialect, so that it is not forwarded with the end-to-end fields.
     virtual bool isOwnField(std::string_view name) const = 0;
 
+    /// Returns whether a field names the caller's organisation or carries its key. Where the configuration holds organisations, such fields are not
+    /// forwarded with the end-to-end fields.
+    virtual bool isCredentialField(std::string_view name) const = 0;
+
     /// Appends the dialect's fields of a request to a target. identity: the identity of the endpoint; remaining: time until the call's deadline.
     virtual void appendRequestFields(std::string &out, const call_head &call, std::string_view identity, std::chrono::milliseconds remaining) const = 0;
 
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -3,6 +3,7 @@
 #include "sequoiawharf/event.h"
 #include "sequoiawharf/readiness_wait.h"
 #include "sequoiawharf/routing.h"
+#include "src/shell/gateway/call_dialect.h"
 #include "src/shell/gateway/call_engine.h"
 #include "src/shell/gateway/gateway_shared.h"
 #include "src/shell/gateway/probe_round.h"
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <utility>
 
 // The part of call_run before the first attempt, and the ending of calls without a target's answer; see call_attempts.cpp and call_answer.cpp for
 // the others.
@@ -141,6 +143,9 @@
     if (m_route == nullptr) {
         return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NoRoute);
     }
+    if (auto response = identifyCaller()) {
+        return response;
+    }
     m_balancer = m_routing->find(choosePool(*m_route, m_engine.random().unit()));
     if (!m_balancer) {
         return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NoTarget);
@@ -149,7 +154,7 @@
     m_arrived = m_head.received;
     const auto bound = std::min(m_route->deadline, m_engine.shared().settings.limits.maxDeadline);
     m_profile.deadline = m_head.received + std::min(bound, m_head.callerTimeout.value_or(bound));
-    m_profile.priority = m_route->priority;
+    m_profile.priority = m_organisation != nullptr && m_organisation->priority ? *m_organisation->priority : m_route->priority;
     m_profile.idempotent = isIdempotent(*m_route, m_head.method);
     m_profile.depth = m_head.depth;
     m_profile.maxAttempts = m_route->maxAttempts;
@@ -157,6 +162,35 @@
     return m_head.contentLength.value_or(0) > m_route->maxBodyBytes ? std::optional(tooLargeRefusal()) : std::nullopt;
 }
 
+// Sets the organisation of the caller, where the configuration holds any, and removes the caller's credentials from the fields to forward. Returns a
+// refusal when the route needs a key and no organisation holds the one that the caller presented.
+std::optional<refusal> call_run::identifyCaller()
+{
+    const auto &organisations = m_routing->config().organisations;
+    const auto key = std::exchange(m_head.key, {});
+    if (organisations.empty()) {
+        return std::nullopt;
+    }
+    if (m_head.relayed) {
+        // The instance that took the call checked the key and names the organisation.
+        m_organisation = organisations.find(m_head.organisation);
+        const bool isKnown = m_organisation != nullptr || m_route->isPublic;
+        return isKnown ? std::nullopt : std::optional(makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::ConfigurationStale));
+    }
+    std::erase_if(m_head.headers, [this](const header_field &field) {
+        return m_engine.dialect().isCredentialField(field.name);
+    });
+    if (m_route->isPublic) {
+        return std::nullopt;
+    }
+    m_organisation = m_routing->findOrganisation(key);
+    if (m_organisation == nullptr) {
+        return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::UnknownKey);
+    }
+    m_head.organisation = m_organisation->name;
+    return std::nullopt;
+}
+
 refusal call_run::tooLargeRefusal() const
 {
     auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), call_reason::BadRequest);
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -22,6 +22,7 @@
 class probe_round;
 class routing;
 enum class event_kind;
+struct organisation;
 struct route;
 
 /// Runs one call, from its head to its single ending. Used by one coroutine and its hedge, on one thread.
@@ -41,6 +42,7 @@
     // Before the first attempt.
     boost::asio::awaitable<std::optional<refusal>> waitUntilReady();
     std::optional<refusal> findRoute();
+    std::optional<refusal> identifyCaller();
     boost::asio::awaitable<std::optional<refusal>> holdBody();
     std::optional<refusal> bodyRefusal() const;
     refusal tooLargeRefusal() const;
@@ -92,6 +94,7 @@
     std::shared_ptr<const routing> m_routing;
     balancer_ptr m_balancer;
     const route *m_route = nullptr;
+    const organisation *m_organisation = nullptr; ///< Of the caller; null: the route is public, or the configuration holds no organisations.
     call_profile m_profile;
     mono_time m_arrived {}; ///< When the request had been read, including the held part of its body. Set by findRoute() and holdBody().
     std::optional<request_body> m_body;
--- a/src/shell/gateway/caller_session.cpp
+++ b/src/shell/gateway/caller_session.cpp
@@ -166,6 +166,7 @@
     head.path = std::string(toView(message.target()));
     head.headers = endToEnd(message, m_engine.dialect());
     head.caller = terms.caller.empty() ? caller_id(m_remoteAddress) : std::move(terms.caller);
+    head.key = std::move(terms.key);
     if (terms.deadlineMs) {
         const auto longest = m_engine.shared().settings.limits.maxDeadline;
         head.callerTimeout = std::chrono::milliseconds(std::min<std::uint64_t>(*terms.deadlineMs, static_cast<std::uint64_t>(longest.count())));
--- a/src/shell/gateway/header_rules.cpp
+++ b/src/shell/gateway/header_rules.cpp
@@ -141,6 +141,17 @@
     return stated;
 }
 
+std::string bearerToken(std::string_view authorization)
+{
+    constexpr std::string_view kScheme = "Bearer ";
+    if (!equalsIgnoringCase(authorization.substr(0, kScheme.size()), kScheme)) {
+        return {};
+    }
+    authorization.remove_prefix(kScheme.size());
+    authorization.remove_prefix(std::min(authorization.find_first_not_of(' '), authorization.size()));
+    return std::string(authorization);
+}
+
 std::optional<call_id> parseCallId(std::string_view text)
 {
     call_id value = 0;
--- a/src/shell/gateway/header_rules.h
+++ b/src/shell/gateway/header_rules.h
@@ -43,6 +43,9 @@
 /// time counts, and those that are no number of seconds are ignored. Thread safe.
 endpoint_availability readRest(unsigned status, const boost::beast::http::fields &fields);
 
+/// Returns the token of an Authorization field with the Bearer scheme (RFC 6750), or an empty text. Thread safe.
+std::string bearerToken(std::string_view authorization);
+
 /// Parses a text of exactly 16 hexadecimal digits; returns nothing for any other text. Thread safe.
 std::optional<call_id> parseCallId(std::string_view text);
 
--- a/src/shell/gateway/own_dialect.cpp
+++ b/src/shell/gateway/own_dialect.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view kLoadHeader = "endpoint-load-metrics";
 constexpr std::string_view kStateHeader = "Endpoint-State";
 constexpr std::string_view kLeavingState = "leaving";
+constexpr std::string_view kOrganisationHeader = "Sequoiawharf-Organisation";
+constexpr std::string_view kAuthorization = "Authorization";
 
 std::string_view fieldOf(const call_dialect::fields &fields, std::string_view name)
 {
@@ -37,6 +39,7 @@
         request_metadata terms;
         terms.id = parseCallId(fieldOf(head, kCallHeader));
         terms.caller = caller_id(std::string(fieldOf(head, kCallerHeader)));
+        terms.key = bearerToken(fieldOf(head, kAuthorization));
         terms.deadlineMs = parseDecimal(fieldOf(head, kDeadlineHeader));
         terms.depth = parseDecimal(fieldOf(head, kDepthHeader)).value_or(0);
         return terms;
@@ -47,12 +50,20 @@
         return name.size() > kOwnPrefix.size() && equalsIgnoringCase(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
     }
 
+    bool isCredentialField(std::string_view name) const override
+    {
+        return equalsIgnoringCase(name, kAuthorization);
+    }
+
     void appendRequestFields(std::string &out, const call_head &call, std::string_view /*identity*/, std::chrono::milliseconds remaining) const override
     {
         appendField(out, kCallHeader, formatCallId(call.id));
         appendNumber(out, kDeadlineHeader, static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)));
         appendNumber(out, kDepthHeader, call.depth + 1U);
         appendField(out, kCallerHeader, call.caller.str());
+        if (!call.organisation.empty()) {
+            appendField(out, kOrganisationHeader, call.organisation.str());
+        }
     }
 
     target_signals readAnswerHead(unsigned status, const fields &head, const call_head & /*call*/) const override
--- a/src/shell/gateway/refusal.cpp
+++ b/src/shell/gateway/refusal.cpp
@@ -48,6 +48,12 @@
         return "no instance of another region could be reached";
     case call_reason::Stopping:
         return "this instance is stopping";
+    case call_reason::UnknownKey:
+        return "the request has no key of an organisation";
+    case call_reason::ConfigurationStale:
+        return "the configuration of this instance may be out of date";
+    case call_reason::QuotaExceeded:
+        return "the organisation is over its quota";
     case call_reason::None:
         break;
     }
@@ -63,7 +69,10 @@
         return kBadRequest;
     case call_reason::NoRoute:
         return kNotFound;
+    case call_reason::UnknownKey:
+        return kUnauthorized;
     case call_reason::CallerOverShare:
+    case call_reason::QuotaExceeded:
         return kTooManyRequests;
     case call_reason::DeadlinePassed:
     case call_reason::DeadlineTooShort:
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -91,6 +91,7 @@
     , m_config(std::make_shared<const configuration>())
     , m_readingTimes(reading_times::within(settings.leavingBound))
     , m_lastTick(monoNow())
+    , m_keySeed(random_source(seedOf(settings)).next())
     , m_cpuAt(m_lastTick)
 {
     if (auto discovery = outside.makeDiscoveryClient(settings)) {
@@ -316,7 +317,7 @@
 
 void control_plane::publishRouting(mono_time now)
 {
-    m_routing = std::make_shared<const routing>(withEndpoints(), m_locality, m_policy, *m_routing, now);
+    m_routing = std::make_shared<const routing>(withEndpoints(), m_locality, m_policy, *m_routing, now, m_keySeed);
     m_routings.store(m_routing);
 }
 
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/pool_watch.h"
+#include "sequoiawharf/random_source.h"
 #include "sequoiawharf/routing.h"
 #include "sequoiawharf/settings.h"
 #include "src/base/rcu_snapshot.h"
@@ -138,6 +139,7 @@
     std::vector<instance_id> m_live; ///< Live instances of the data centre.
     locality m_locality;
     mono_time m_lastTick;
+    std::uint64_t m_keySeed; ///< Of the index of the organisations' keys.
     bool m_publishedReady = false; ///< Readiness that was published to the other instances last.
     mono_time m_statusDue;
     mono_time m_lastStatus;
--- a/src/shell/metrics/gateway_metrics.h
+++ b/src/shell/metrics/gateway_metrics.h
@@ -15,7 +15,7 @@
 {
 
 inline constexpr std::size_t kEndingCount = static_cast<std::size_t>(call_ending::Unknown) + 1;
-inline constexpr std::size_t kReasonCount = static_cast<std::size_t>(call_reason::Stopping) + 1;
+inline constexpr std::size_t kReasonCount = kCallReasonCount;
 
 /// Directions of the bytes of calls through an instance.
 enum class byte_direction { FromCallers, ToCallers, FromTargets, ToTargets };
--- a/src/shell/peer/relay_headers.cpp
+++ b/src/shell/peer/relay_headers.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view kCall = "sequoiawharf-call";
 constexpr std::string_view kCaller = "sequoiawharf-caller";
 constexpr std::string_view kDeadline = "sequoiawharf-deadline-ms";
+constexpr std::string_view kOrganisation = "sequoiawharf-organisation";
 constexpr std::string_view kDepth = "sequoiawharf-depth";
 constexpr std::string_view kSender = "sequoiawharf-sender";
 constexpr std::string_view kSenderProcess = "sequoiawharf-sender-incarnation";
@@ -91,6 +92,9 @@
     append(out, kSender, self.instance.str());
     append(out, kSenderProcess, fmt::to_string(self.process));
     append(out, kReceiverProcess, fmt::to_string(receiver.process));
+    if (!call.organisation.empty()) {
+        append(out, kOrganisation, call.organisation.str());
+    }
     if (call.contentLength) {
         append(out, kContentLength, fmt::to_string(*call.contentLength));
     }
@@ -120,6 +124,7 @@
     call.head.received = now;
     call.head.callerTimeout = std::chrono::milliseconds(*deadline);
     call.head.depth = *depth;
+    call.head.organisation = organisation_name(std::string(findHeader(headers, kOrganisation)));
     call.head.contentLength = parse<std::uint64_t>(findHeader(headers, kContentLength));
     call.head.relayed = true;
     appendForwarded(headers, call.head.headers);
@@ -149,7 +154,7 @@
     const auto status = parse<unsigned>(findHeader(headers, ":status"));
     const auto ending = parseName(findHeader(headers, kEnding), call_ending::Unknown);
     const auto reasonText = findHeader(headers, kReason);
-    const auto reason = reasonText.empty() ? call_reason::None : parseName(reasonText, call_reason::Stopping);
+    const auto reason = reasonText.empty() ? call_reason::None : parseName(reasonText, static_cast<call_reason>(kCallReasonCount - 1));
     if (!status || !ending || !reason) {
         return tl::unexpected(relay_head_error::Malformed);
     }
--- a/tests/config/record_test.cpp
+++ b/tests/config/record_test.cpp
@@ -36,7 +36,7 @@
             const auto other = *anyTables();
             const auto from = asConfiguration(other, 7);
             const configuration_record whole = publication {publication_id("x"), 7, tables, "a \"quoted\" \xc3\xa9", "n\n"};
-            const configuration_record delta = publication {publication_id("x"), 7, makeDelta(from, tables.routes, tables.pools), "", ""};
+            const configuration_record delta = publication {publication_id("x"), 7, makeDelta(from, tables), "", ""};
             const configuration_record state = state_record {3, 9, tables};
             RC_ASSERT(decodeRecord(encodeRecord(whole)) == whole);
             RC_ASSERT(decodeRecord(encodeRecord(delta)) == delta);
@@ -49,7 +49,7 @@
         checkProperty("applying the delta gives the target's tables", [] {
             const auto from = asConfiguration(*anyTables(), 7);
             const auto to = *anyTables();
-            const auto delta = makeDelta(from, to.routes, to.pools);
+            const auto delta = makeDelta(from, to);
             const auto next = applyChange(from, delta, 8);
             RC_ASSERT(next.has_value());
             RC_ASSERT((*next)->version == 8U);
--- a/tests/config/table_samples.h
+++ b/tests/config/table_samples.h
@@ -70,7 +70,7 @@
 /// Returns the text of a publication that changes a configuration into the tables.
 inline std::string publicationText(const std::string &id, const configuration &from, const whole_tables &to)
 {
-    return encodeRecord(publication {publication_id(id), from.version, makeDelta(from, to.routes, to.pools), "tester", "note"});
+    return encodeRecord(publication {publication_id(id), from.version, makeDelta(from, to), "tester", "note"});
 }
 
 /// Returns tables of one pool with that many slots, by which tests distinguish versions.
