--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -170,11 +170,16 @@
 {
     m_gateway.reset();
     auto config = std::make_shared<configuration>();
-    config->routes = route_table({
+    std::vector<route> routes {
         makeRoute("all", "/", milliseconds(10'000), 1U << 20U),
         makeRoute("short", "/short", milliseconds(150), 1U << 20U),
         makeRoute("big", "/big", milliseconds(60'000), kBigBodyBytes),
+    };
+    std::ranges::for_each(routes, [this](route &rule) {
+        rule.isPublic = hasPublicRoutes;
     });
+    config->routes = route_table(std::move(routes));
+    config->organisations = organisations;
     config->pools = pool_table({targetPool});
     const std::shared_ptr<const selection_policy> policy = makeSelectionPolicy("two-choices");
     CPPUNIT_ASSERT(policy != nullptr);
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -116,7 +116,7 @@
         return m_gateway->address();
     }
 
-    /// Replaces the gateway by a new one with the current settings and targetPool.
+    /// Replaces the gateway by a new one with the current settings, targetPool and organisations.
     void start();
 
     /// As start(), with a gateway that probes one target before each call.
@@ -124,6 +124,8 @@
 
     instance_settings settings;
     pool targetPool;
+    organisation_table organisations;
+    bool hasPublicRoutes = false; ///< All routes are public.
 
 private:
     std::vector<relay_client *> m_relays;
