Limit hedges by a share of calls, and time them by the pool's latencies

Purpose: a few slow answers dominate the tail of latencies; operators accept extra work for calls that may be repeated, within a limit that they set.

Change: with `hedging: {ratio}` a hedge goes out after the latency that this share of the pool's calls exceeds, earlier where only that meets the latency objective, never before one and a half times the unloaded latency. Each instance keeps to the share of its own calls, within the budget of repeats.

Evidence: test_balance and test_settings pass; in hedge_test, with 3 calls in 100 seven times as slow and a limit of 5 %, the 99th percentile is at most three times the usual latency, and no more than 5 % of the calls are hedged.

--- a/include/sequoiawharf/attempt.h
+++ b/include/sequoiawharf/attempt.h
@@ -17,6 +17,7 @@
     bool idempotent = false;
     bool replayable = false; ///< The request body is in memory as a whole, or there is none, so that it can be sent again.
     mono_time deadline {};
+    mono_time objective {}; ///< Time until which an answer meets the latency objective of the route; the epoch: none.
     unsigned depth = 0; ///< Number of calls in the chain of callers above this one.
     std::uint64_t callerHash = 0;
     unsigned maxAttempts = 0; ///< Maximum number of endpoints to which the call may be sent; 0: the pool's own maximum.
--- a/include/sequoiawharf/locality.h
+++ b/include/sequoiawharf/locality.h
@@ -16,6 +16,7 @@
     unsigned instances = 1; ///< Estimated number of live instances that call the same endpoints, this one included.
     std::vector<data_centre_id> ownRegion {}; ///< Data centres of the own region; empty means that all count as near.
     unsigned fleetSize = 1; ///< Instances that share the fleet's budget of repeats, this one included; a count that is too low exceeds the budget.
+    hedge_limits hedging {}; ///< The fleet's limit on hedges, which are repeats as well.
     repeat_limits repeats {}; ///< The fleet's budget of repeats; when not set, each pool's retry budget applies.
 
     friend bool operator==(const locality &, const locality &) = default;
--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -56,6 +56,18 @@
     friend bool operator==(const repeat_limits &, const repeat_limits &) = default;
 };
 
+/// Limit on hedges, which send a call to a second endpoint while the first has not answered.
+struct hedge_limits {
+    double ratio = 0; ///< Hedges per call of a pool, over all instances; 0: limited only by the budget of repeats.
+
+    /// Returns whether hedges have a limit of their own.
+    bool isSet() const
+    {
+        return ratio > 0;
+    }
+    friend bool operator==(const hedge_limits &, const hedge_limits &) = default;
+};
+
 /// How endpoints are probed for their load right before a call is sent to one of them.
 struct probing_settings {
     unsigned count = 0; ///< Endpoints probed in the instance's data centre; 0: no probing, the selection policy uses the load already known.
@@ -92,6 +104,7 @@
     measuring_limits measuring;
     link_settings link;
     repeat_limits repeats;
+    hedge_limits hedging;
     probing_settings probing;
     std::chrono::milliseconds leavingBound {3000}; ///< Time within which an endpoint that announced that it is leaving gets no new calls any more.
     bool isFirstStart = false; ///< All instances are starting for the first time, at about the same time, and there are no calls yet.
@@ -103,7 +116,7 @@
     friend bool operator==(const instance_settings &, const instance_settings &) = default;
 };
 
-/// Copies the settings that can change while an instance runs: the log level, the seeds and the repeat limits. Not thread safe.
+/// Copies the settings that can change while an instance runs: the log level, the seeds, and the limits on repeats and hedges. Not thread safe.
 void copyReloadable(const instance_settings &from, instance_settings &to);
 
 /// The effect of a changed settings file on a running instance.
--- a/src/balance/latency_profile.cpp
+++ b/src/balance/latency_profile.cpp
@@ -12,8 +12,20 @@
 
 constexpr std::chrono::nanoseconds kMinLatencyWindow = 10s;
 constexpr std::uint32_t kMinLatencySamples = 50;
-// The estimate falls by 1/256 of itself for a lower sample and rises by 19/256 for a higher one, so 5 % of the samples lie above it.
+// An estimate falls by 1/256 of itself for a lower sample, and rises by a multiple of that for a higher one, so that it settles where the stated share of
+// the samples lies above it.
 constexpr std::int64_t kStepParts = 256;
+constexpr double kP95Share = 0.05;
+
+std::int64_t nextEstimate(std::int64_t estimate, std::int64_t sample, double shareAbove)
+{
+    if (estimate == 0) {
+        return sample;
+    }
+    const auto step = std::max<std::int64_t>(1, estimate / kStepParts);
+    const auto rise = static_cast<std::int64_t>(static_cast<double>(step) * (1 - shareAbove) / shareAbove);
+    return sample > estimate ? estimate + rise : estimate - step;
+}
 
 } // namespace
 
@@ -30,9 +42,10 @@
     if (least == 0 || sample < least) {
         m_leastNs.store(sample, std::memory_order_relaxed);
     }
-    const auto p95 = m_p95Ns.load(std::memory_order_relaxed);
-    const auto step = std::max<std::int64_t>(1, p95 / kStepParts);
-    m_p95Ns.store(p95 == 0 ? sample : (sample > p95 ? p95 + 19 * step : p95 - step), std::memory_order_relaxed);
+    m_p95Ns.store(nextEstimate(m_p95Ns.load(std::memory_order_relaxed), sample, kP95Share), std::memory_order_relaxed);
+    if (const auto share = m_slowShare.load(std::memory_order_relaxed); share > 0) {
+        m_slowNs.store(nextEstimate(m_slowNs.load(std::memory_order_relaxed), sample, share), std::memory_order_relaxed);
+    }
     m_samples.fetch_add(1, std::memory_order_relaxed);
 }
 
@@ -43,6 +56,18 @@
     return std::chrono::nanoseconds(previous == 0 ? current : std::min(current, previous));
 }
 
+void latency_profile::setSlowShare(double share)
+{
+    if (m_slowShare.exchange(share, std::memory_order_relaxed) != share) {
+        m_slowNs.store(0, std::memory_order_relaxed);
+    }
+}
+
+std::chrono::nanoseconds latency_profile::slow() const
+{
+    return std::chrono::nanoseconds(m_samples.load(std::memory_order_relaxed) < kMinLatencySamples ? 0 : m_slowNs.load(std::memory_order_relaxed));
+}
+
 std::chrono::nanoseconds latency_profile::p95() const
 {
     return std::chrono::nanoseconds(m_samples.load(std::memory_order_relaxed) < kMinLatencySamples ? 0 : m_p95Ns.load(std::memory_order_relaxed));
--- a/src/balance/pool_admission.cpp
+++ b/src/balance/pool_admission.cpp
@@ -1,5 +1,6 @@
 #include "sequoiawharf/pool_balancer.h"
 
+#include "sequoiawharf/hedge_plan.h"
 #include "src/balance/pool_state.h"
 
 #include <algorithm>
@@ -157,6 +158,14 @@
 
 std::optional<std::chrono::nanoseconds> pool_balancer::hedgeDelay(const call_profile &call, mono_time now) const
 {
+    if (m_state->hedgeBudget.isSet()) {
+        const auto slow = m_state->latencies.slow();
+        const auto delay = planHedge({.slowLatency = slow > std::chrono::nanoseconds::zero() ? slow : kEarlyHedgeRatio * unloadedLatency(),
+                                      .unloadedLatency = unloadedLatency(),
+                                      .timeToObjective = std::max<std::chrono::nanoseconds>(call.objective - now, {}),
+                                      .timeToDeadline = call.deadline - now});
+        return call.idempotent && call.replayable ? delay : std::nullopt;
+    }
     const auto p95 = m_state->latencies.p95();
     const auto delay = p95 > std::chrono::nanoseconds::zero() ? p95 : kEarlyHedgeRatio * unloadedLatency();
     const bool mayHedge = call.idempotent && call.replayable && delay > std::chrono::nanoseconds::zero();
@@ -174,7 +183,11 @@
     const bool hasRoom = hasRoomForHedge(*m_state);
     const bool maySend
         = call.idempotent && record.maySend(call) && record.attempts() < attemptLimit(call) && !record.answerStarted() && record.outstanding() == 1;
-    if (!maySend || !hasRoom || now + leastLatency() >= call.deadline || !drawRepeat(call, now)) {
+    if (!maySend || !hasRoom || now + leastLatency() >= call.deadline) {
+        return false;
+    }
+    const bool isWithinLimit = !m_state->hedgeBudget.isSet() || m_state->hedgeBudget.take(now);
+    if (!isWithinLimit || !drawRepeat(call, now)) {
         return false;
     }
     m_state->hedges.fetch_add(1, std::memory_order_relaxed);
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -92,6 +92,9 @@
         return distanceFrom(place, member.dataCentre);
     });
     m_state->fleetBudget.setLimits(place.repeats, std::max(1U, place.fleetSize));
+    const repeat_limits hedges {.ratio = place.hedging.ratio, .slack = 0, .window = place.repeats.window};
+    m_state->hedgeBudget.setLimits(hedges, 1);
+    m_state->latencies.setSlowShare(place.hedging.ratio);
     m_state->limit.setRange(static_cast<std::uint32_t>(serving) * m_definition.slots, m_instances);
 }
 
@@ -240,6 +243,7 @@
 void pool_balancer::callStarted(mono_time now) const
 {
     m_state->fleetBudget.callStarted(now);
+    m_state->hedgeBudget.callStarted(now);
 }
 
 // Returns whether at least kUnhealthyShare of a sample of the endpoints in the same data centre look unhealthy.
--- a/src/balance/pool_state.h
+++ b/src/balance/pool_state.h
@@ -20,6 +20,7 @@
     concurrency_limit limit;
     retry_budget budget; ///< Budget of this instance alone; unused when fleetBudget is set.
     fleet_repeat_budget fleetBudget;
+    fleet_repeat_budget hedgeBudget; ///< Limits hedges besides the other budgets, while it is set.
     fair_share callers;
     waiting_threads waiting;
     latency_profile latencies;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::array<std::string_view, 4> kLogLevels {"debug", "info", "warning", "error"};
 
+constexpr double kMaxHedgeRatio = 0.5; // with more, hedges would go out before most calls are answered
+
 void readRegions(yaml_fields &fields, instance_settings &settings)
 {
     const auto node = fields.child("regions");
@@ -64,6 +66,17 @@
     fields.rejectUnknown();
 }
 
+void readHedging(yaml_fields &parent, hedge_limits &hedging, std::vector<table_fault> &faults)
+{
+    const auto node = parent.child("hedging");
+    if (!node.IsDefined()) {
+        return;
+    }
+    yaml_fields fields(node, "hedging", faults);
+    fields.readReal("ratio", hedging.ratio, 0, kMaxHedgeRatio);
+    fields.rejectUnknown();
+}
+
 void readProbing(yaml_fields &parent, probing_settings &probing, std::vector<table_fault> &faults)
 {
     const auto node = parent.child("probing");
@@ -179,6 +192,7 @@
     readMeasuring(fields, settings.measuring, faults);
     readLink(fields, settings.link, faults);
     readRepeats(fields, settings.repeats, faults);
+    readHedging(fields, settings.hedging, faults);
     readProbing(fields, settings.probing, faults);
     fields.rejectUnknown();
     checkCrossFieldRules(settings, fields);
@@ -200,6 +214,7 @@
     to.logLevel = from.logLevel;
     to.seeds = from.seeds;
     to.repeats = from.repeats;
+    to.hedging = from.hedging;
 }
 
 settings_reload planReload(const instance_settings &running, const instance_settings &read)
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -154,6 +154,9 @@
     m_arrived = m_head.received;
     const auto bound = std::min(m_route->deadline, m_engine.shared().settings.limits.maxDeadline);
     m_profile.deadline = m_head.received + std::min(bound, m_head.callerTimeout.value_or(bound));
+    if (m_route->latencyObjective.count() > 0) {
+        m_profile.objective = m_head.received + m_route->latencyObjective;
+    }
     m_profile.priority = m_organisation != nullptr && m_organisation->priority ? *m_organisation->priority : m_route->priority;
     m_profile.idempotent = isIdempotent(*m_route, m_head.method);
     m_profile.depth = m_head.depth;
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -287,6 +287,7 @@
     result.instances = std::max(1U, isProbing ? m_listed : m_node.members().liveInRegion(now));
     result.fleetSize = m_listed > 0 ? m_listed : kAssumedFleetSize;
     result.repeats = m_settings.repeats;
+    result.hedging = m_settings.hedging;
     return result;
 }
 
