Refuse answers that end with a reset during the upload, and invalid statuses

Cause: the kernel reports a reset once. When an endpoint answers without a length and resets the connection while the gateway's write of the upload is pending, the write takes the error and the next read sees an orderly end of stream. The partial body was forwarded as a complete answer, directly and through a relay. Statuses 000 to 099 were skipped as interim answers, and 600 to 999 were forwarded.

Change: target_exchange records that a write has failed. An answer that has no length and ends with its connection is then lost, not complete. A write that fails with EPIPE is excepted: the kernel reports that when an orderly end preceded the reset, so that the whole answer has arrived. Status codes outside 100 to 599 are refused by the gateway, probes, the client of the control plane and the reader of relayed answers.

The same cause was looked for in the other places where a body may end with its connection. The streams of relays end by a frame; probes and http_client write the whole request before they read; page_server and the gateway read only requests with a length or chunks. None of them reads beside a pending write.

Changes to existing tests: relay_path_test::callIsRelayedToTheOtherRegion uses fake_target and test_caller, as the new cases do, in place of page_server and fetchNow; it checks the same status, body and stop. Its instances get a link rate that lets an upload fill the socket buffers.

Invalid field names were refused before; the tests keep that.

--- a/src/shell/gateway/probe_round.cpp
+++ b/src/shell/gateway/probe_round.cpp
@@ -2,6 +2,7 @@
 
 #include "src/shell/gateway/call_dialect.h"
 #include "src/shell/net/clock.h"
+#include "src/shell/net/http_status.h"
 #include "src/shell/net/message_reader.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -123,7 +124,7 @@
         co_return std::nullopt;
     }
     const auto head = co_await reader.readHeader(parser);
-    const auto signals = head ? m_dialect.readProbe(parser.get().result_int(), parser.get()) : std::nullopt;
+    const auto signals = head && isValidStatus(parser.get().result_int()) ? m_dialect.readProbe(parser.get().result_int(), parser.get()) : std::nullopt;
     if (!signals) {
         current.connection = nullptr;
         co_return std::nullopt;
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -7,6 +7,7 @@
 #include "src/shell/gateway/request_body.h"
 #include "src/shell/metrics/gateway_metrics.h"
 #include "src/shell/net/clock.h"
+#include "src/shell/net/http_status.h"
 #include "src/shell/net/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -171,6 +172,8 @@
     m_metrics.countBytes(byte_direction::ToTargets, count);
     // If the first write failed, the kernel accepted no byte, so none can have reached the target.
     m_outcome.requestMayHaveLeft = m_outcome.requestMayHaveLeft || count > 0;
+    // A reset that follows an orderly end fails the write with broken_pipe; the end itself, and all bytes before it, have arrived then.
+    m_isConnectionBroken = m_isConnectionBroken || (error && error != asio::error::broken_pipe);
     co_return !error;
 }
 
@@ -235,7 +238,7 @@
         }
         m_metrics.countBytes(byte_direction::FromTargets, *size);
         const auto &message = m_parser->get();
-        if (message.result_int() == kSwitchingProtocols || !framingFault(message, message.version()).empty()) {
+        if (!isValidStatus(message.result_int()) || message.result_int() == kSwitchingProtocols || !framingFault(message, message.version()).empty()) {
             co_return fail(attempt_end::BadAnswer);
         }
     } while (m_parser->get().result_int() < kFirstFinalStatus);
@@ -315,6 +318,11 @@
         failReading(count.error());
         co_return std::nullopt;
     }
+    // A socket reports a reset once. If a write took it, the next read sees an end of stream although the answer may be incomplete.
+    if (*count == 0 && m_parser->need_eof() && m_isConnectionBroken) {
+        fail(attempt_end::Lost);
+        co_return std::nullopt;
+    }
     m_metrics.countBytes(byte_direction::FromTargets, *count);
     m_answerIsWhole = *count == 0;
     co_return *count;
--- a/src/shell/gateway/target_exchange.h
+++ b/src/shell/gateway/target_exchange.h
@@ -121,6 +121,7 @@
     bool m_isUploading = false;
     bool m_uploadIsWhole = true;
     bool m_answerIsWhole = false;
+    bool m_isConnectionBroken = false; ///< A write has failed with a reset or another failure of the connection.
     std::optional<boost::asio::steady_timer> m_uploadFinished; ///< Never expires; it is cancelled when the upload stops.
 };
 
--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/net/http_client.h"
 
+#include "src/shell/net/http_status.h"
 #include "src/shell/net/socket_options.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -99,7 +100,7 @@
     co_return http_answer {parser.get().result_int(), std::move(parser.get().body())};
 }
 
-// Reads an answer part by part. With a stall timeout, each part that arrives extends the time. Returns whether the answer is complete.
+// Reads an answer part by part. With a stall timeout, each part that arrives extends the time. Returns whether the answer is complete and its status valid.
 asio::awaitable<bool>
 http_session::readAnswer(answer_parser &parser, std::optional<std::chrono::milliseconds> stallTimeout, std::shared_ptr<http_progress> progress)
 {
@@ -118,7 +119,7 @@
             m_stream.expires_at(std::min(*latestEnd, now + *stallTimeout));
         }
     }
-    co_return !error;
+    co_return !error && isValidStatus(parser.get().result_int());
 }
 
 asio::awaitable<tl::expected<http_answer, http_error>> fetch(http_request request, std::chrono::milliseconds timeout)
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -47,7 +47,7 @@
 /// Errors of fetch().
 enum class http_error {
     NotSent, ///< No connection was established, so the server did not receive the request.
-    Lost, ///< The connection failed before a complete answer arrived; the server may have received the request.
+    Lost, ///< The connection failed before a complete answer arrived, or its status is invalid; the server may have received the request.
 };
 
 /// Sends requests to one server, one after another, on one connection as long as the server keeps it open. Used by one coroutine at a time.
--- a/src/shell/peer/relay_headers.cpp
+++ b/src/shell/peer/relay_headers.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/peer/relay_headers.h"
 
+#include "src/shell/net/http_status.h"
 #include "src/shell/peer/peer_stream.h"
 
 #include <algorithm>
@@ -155,7 +156,7 @@
     const auto ending = parseName(findHeader(headers, kEnding), call_ending::Unknown);
     const auto reasonText = findHeader(headers, kReason);
     const auto reason = reasonText.empty() ? call_reason::None : parseName(reasonText, static_cast<call_reason>(kCallReasonCount - 1));
-    if (!status || !ending || !reason) {
+    if (!status || !isValidStatus(*status) || !ending || !reason) {
         return tl::unexpected(relay_head_error::Malformed);
     }
     if (parse<incarnation>(findHeader(headers, kSenderProcess)) != expected.process) {
--- a/tests/gateway/fake_target.cpp
+++ b/tests/gateway/fake_target.cpp
@@ -21,6 +21,7 @@
 namespace http = boost::beast::http;
 
 constexpr timeval kSocketTimeout {10, 0};
+constexpr std::size_t kUploadStartBytes = 2000;
 
 void setSocketTimeouts(asio::ip::tcp::socket &socket)
 {
@@ -96,6 +97,12 @@
     }
 }
 
+void target_peer::finishSending()
+{
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void target_peer::reset()
 {
     boost::system::error_code ignored;
@@ -156,4 +163,28 @@
     };
 }
 
+fake_target::script resetDuringUpload(std::string text)
+{
+    return [text = std::move(text)](target_peer &peer) {
+        peer.readBytes(kUploadStartBytes);
+        peer.send(text);
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        peer.reset();
+    };
+}
+
+std::vector<std::string> invalidAnswers()
+{
+    std::vector<std::string> answers;
+    for (const std::string_view status : {"000", "020", "099", "20", "2000", "600", "999", "-20", "2x0", ""}) {
+        answers.push_back(fmt::format("HTTP/1.1 {} OK\r\nContent-Length: 2\r\n\r\nab", status));
+    }
+    using namespace std::string_literals;
+    for (const auto &field :
+         {"A b: c"s, "A : c"s, " A: c"s, ": c"s, "A\x01: c"s, "A\x7f: c"s, "A\x80: c"s, "A\0: c"s, "A\t: c"s, "A\r: c"s, "A(: c"s, "A@: c"s, "A"s}) {
+        answers.push_back(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n{}\r\n\r\nab", field));
+    }
+    return answers;
+}
+
 } // namespace sequoiawharf::testing
--- a/tests/gateway/fake_target.h
+++ b/tests/gateway/fake_target.h
@@ -35,6 +35,9 @@
     /// Waits until the other side closes the connection. Returns false if it did not within 10 s.
     bool waitForClose();
 
+    /// Ends the sending direction in an orderly way; the connection stays open.
+    void finishSending();
+
     /// Closes the connection with a reset.
     void reset();
 
@@ -91,4 +94,11 @@
 /// Returns a script that answers every request with the body.
 fake_target::script alwaysAnswer(std::string body);
 
+/// Returns a script that reads the start of a long upload, sends the text, stops reading and resets the connection 150 ms later. By then the gateway's
+/// write to the target is pending, if its caller sends fast.
+fake_target::script resetDuringUpload(std::string text);
+
+/// Answers that violate HTTP in their status or a field name, and otherwise are complete.
+std::vector<std::string> invalidAnswers();
+
 } // namespace sequoiawharf::testing
--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -129,6 +129,29 @@
     m_socket.close();
 }
 
+void test_caller::stopSending()
+{
+    ::shutdown(m_socket.native_handle(), SHUT_RDWR);
+}
+
+received_answer uploadAndRead(const host_port &gateway, std::string_view path, bool isChunked)
+{
+    constexpr std::size_t kParts = 64;
+    const std::string part(1U << 20U, 'x');
+    test_caller caller(gateway);
+    const auto length = isChunked ? std::string("Transfer-Encoding: chunked") : fmt::format("Content-Length: {}", kParts * part.size());
+    caller.send(fmt::format("POST {} HTTP/1.1\r\nHost: test\r\n{}\r\n\r\n", path, length));
+    std::thread upload([&] {
+        const auto text = isChunked ? fmt::format("{:x}\r\n{}\r\n", part.size(), part) : part;
+        for (std::size_t i = 0; i < kParts && caller.send(text); ++i) { }
+        caller.send(isChunked ? "0\r\n\r\n" : "");
+    });
+    auto received = caller.read();
+    caller.stopSending();
+    upload.join();
+    return received;
+}
+
 void expectAnswered(test_caller &caller, int calls)
 {
     for (int i = 0; i < calls; ++i) {
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -81,12 +81,18 @@
     /// Closes the connection.
     void close();
 
+    /// Ends the connection in both directions, so that a send() on another thread returns.
+    void stopSending();
+
 private:
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_unread;
 };
 
+/// Makes a call with an upload of 64 MB, sent as fast as the gateway reads it, and returns the answer, which may arrive before the upload ends.
+received_answer uploadAndRead(const host_port &gateway, std::string_view path, bool isChunked);
+
 /// Makes idempotent calls, one after the other, and expects that each is answered. Their latencies let the gateway hedge later calls.
 void expectAnswered(test_caller &caller, int calls);
 
--- a/tests/gateway/reset_test.cpp
+++ b/tests/gateway/reset_test.cpp
@@ -38,8 +38,12 @@
     CPPUNIT_TEST(closeWithinAnswerIsUnknownWhenNotIdempotent);
     CPPUNIT_TEST(truncatedAnswerOfIdempotentCallIsRetried);
     CPPUNIT_TEST(truncatedLargeAnswerIsNotComplete);
+    CPPUNIT_TEST(resetDuringUploadDoesNotCompleteTheAnswer);
+    CPPUNIT_TEST(orderlyEndDuringUploadCompletesTheAnswer);
     CPPUNIT_TEST(truncatedUploadDoesNotRun);
     CPPUNIT_TEST(malformedAnswersAreNotForwarded);
+    CPPUNIT_TEST(invalidAnswersAreNotForwarded);
+    CPPUNIT_TEST(invalidAnswersOfIdempotentCallsAreRetried);
     CPPUNIT_TEST(declaredRefusalIsNotRun);
     CPPUNIT_TEST(refusedConnectionIsNotRun);
     CPPUNIT_TEST(unsolicitedBytesCloseTheConnection);
@@ -143,6 +147,42 @@
         }
     }
 
+    /// Guards against an answer without a length that ends with a reset and is forwarded as complete: the pending write of the upload takes the reset
+    /// from the socket, and the read then sees an orderly end.
+    void resetDuringUploadDoesNotCompleteTheAnswer()
+    {
+        for (const std::string_view answer : {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+                                              "HTTP/1.0 200 OK\r\n\r\npart",
+                                              "HTTP/1.1 200 OK\r\n\r\npart",
+                                              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\npart"}) {
+            for (const auto isChunked : {false, true}) {
+                const fake_target target(resetDuringUpload(std::string(answer)));
+                gateway_rig rig({&target});
+                const auto received = uploadAndRead(rig.address(), "/big", isChunked);
+                const auto what = fmt::format("{} chunked={} status={} body={}", answer, isChunked, received.status, received.body);
+                CPPUNIT_ASSERT_MESSAGE(what, !received.isWhole || (received.status == 502 && received.ending() == "unknown"));
+            }
+        }
+    }
+
+    /// Guards against the opposite error: an answer without a length that ended in an orderly way before the reset is complete.
+    void orderlyEndDuringUploadCompletesTheAnswer()
+    {
+        for (const auto isChunked : {false, true}) {
+            const fake_target target([](target_peer &peer) {
+                peer.readBytes(2000);
+                peer.send("HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n\r\nwhole");
+                peer.finishSending();
+                std::this_thread::sleep_for(std::chrono::milliseconds(150));
+                peer.reset();
+            });
+            gateway_rig rig({&target});
+            const auto received = uploadAndRead(rig.address(), "/big", isChunked);
+            CPPUNIT_ASSERT(received.isWhole);
+            CPPUNIT_ASSERT_EQUAL(std::string("413 answered whole"), fmt::format("{} {} {}", received.status, received.ending(), received.body));
+        }
+    }
+
     void truncatedUploadDoesNotRun()
     {
         const fake_target target([](target_peer &peer) {
@@ -192,6 +232,39 @@
         }
     }
 
+    /// Guards against a status or field name that violates HTTP and reaches the caller.
+    void invalidAnswersAreNotForwarded()
+    {
+        for (const auto &answer : invalidAnswers()) {
+            const fake_target target([&](target_peer &peer) {
+                peer.readRequest();
+                peer.send(answer);
+            });
+            gateway_rig rig({&target});
+            test_caller caller(rig.address());
+            const auto received = caller.call("POST", "/");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                answer, std::string("502 unknown bad-answer"), fmt::format("{} {} {}", received.status, received.ending(), received.reason()));
+        }
+    }
+
+    void invalidAnswersOfIdempotentCallsAreRetried()
+    {
+        for (const auto &answer : invalidAnswers()) {
+            const fake_target bad([&](target_peer &peer) {
+                peer.readRequest();
+                peer.send(answer);
+            });
+            const fake_target good(alwaysAnswer("whole"));
+            gateway_rig rig({&bad, &good});
+            test_caller caller(rig.address());
+            for (int i = 0; i < 2; ++i) {
+                const auto received = caller.call("GET", "/quotes");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::string("answered whole"), received.ending() + " " + received.body);
+            }
+        }
+    }
+
     void declaredRefusalIsNotRun()
     {
         const fake_target target([](target_peer &peer) {
--- a/tests/peer/relay_path_test.cpp
+++ b/tests/peer/relay_path_test.cpp
@@ -4,14 +4,15 @@
 #include "sequoiawharf/selection_policy.h"
 #include "src/shell/gateway/gateway.h"
 #include "src/shell/metrics/gateway_metrics.h"
-#include "src/shell/net/http_client.h"
-#include "src/shell/net/page_server.h"
 #include "src/shell/peer/peer_node.h"
 #include "src/shell/peer/peer_threads.h"
+#include "tests/gateway/fake_target.h"
+#include "tests/gateway/gateway_rig.h"
 #include "tests/property.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 #include <thread>
 
@@ -24,9 +25,11 @@
 namespace asio = boost::asio;
 using clock = std::chrono::steady_clock;
 using namespace std::chrono_literals;
+using namespace testing;
 
 constexpr auto kRelayAnswerTimeout = 30s;
-const host_port kTarget {"127.13.0.9", 17590};
+const host_port kNear {"127.13.0.8", 17580};
+constexpr std::uint64_t kLinkRate = 1'000'000'000; // lets an upload fill the socket buffers of the far instance's connection to its target
 
 class discarding_sink : public event_sink
 {
@@ -40,16 +43,17 @@
 class fixed_configuration : public configuration_access
 {
 public:
-    fixed_configuration()
+    explicit fixed_configuration(const host_port &target)
     {
         route quotes;
         quotes.name = route_name("quotes");
         quotes.pathPrefix = "/quotes";
         quotes.pool = pool_name("quotes");
         quotes.deadline = 5s;
+        quotes.maxBodyBytes = 1U << 30U;
         pool far;
         far.name = quotes.pool;
-        far.endpoints = {{kTarget, data_centre_id("c"), false}};
+        far.endpoints = {{target, data_centre_id("c"), false}};
         auto config = std::make_shared<configuration>();
         config->version = 1;
         config->routes = route_table({quotes});
@@ -83,6 +87,7 @@
     settings.gateway = {"127.13.0.8", port};
     settings.peer = {"127.13.0.8", static_cast<std::uint16_t>(port + 1)};
     settings.threads = 2;
+    settings.link.bytesPerSecond = kLinkRate;
     settings.seed = port;
     return settings;
 }
@@ -91,8 +96,9 @@
 class gateway_instance
 {
 public:
-    explicit gateway_instance(instance_settings settings)
+    gateway_instance(instance_settings settings, const host_port &target)
         : m_settings(std::move(settings))
+        , m_configuration(target)
         , m_routings(makeRouting())
         , m_metrics(m_settings.threads)
         , m_node(m_control, {m_settings, 5, 6, &m_configuration, nullptr, [](const leaving_notice &) { }})
@@ -168,55 +174,110 @@
     std::thread m_thread;
 };
 
+/// Two instances in two regions. Calls enter at the near one, and the only endpoint is in the region of the far one.
+class two_regions
+{
+public:
+    explicit two_regions(std::uint16_t targetPort)
+        : m_near(settingsOf("near", "a", "north", kNear.port), {"127.10.1.1", targetPort})
+        , m_far(settingsOf("far", "c", "south", kNear.port + 4), {"127.10.1.1", targetPort})
+    {
+        m_near.run(m_far.hint());
+        m_far.run(m_near.hint());
+    }
+
+    /// Repeats the call until the two instances know each other and the call is relayed. Returns the answer.
+    static received_answer awaitAnswer(const std::function<received_answer()> &call)
+    {
+        const auto until = clock::now() + kRelayAnswerTimeout;
+        auto answer = call();
+        while (answer.status == 503 && answer.ending() == "not-run" && clock::now() < until) {
+            std::this_thread::sleep_for(20ms);
+            answer = call();
+        }
+        return answer;
+    }
+
+    /// Stops the far instance; its calls end within 5 s.
+    std::size_t stop()
+    {
+        m_far.peers().beginStop(m_far.threads());
+        m_far.threads().beginStop({.answerBy = clock::now() + 5s});
+        return m_far.threads().finish(5s);
+    }
+
+private:
+    gateway_instance m_near;
+    gateway_instance m_far;
+};
+
+received_answer post(std::string_view body)
+{
+    test_caller caller(kNear);
+    return caller.call("POST", "/quotes/4", body);
+}
+
 class relay_path_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(relay_path_test);
     CPPUNIT_TEST(callIsRelayedToTheOtherRegion);
+    CPPUNIT_TEST(resetDuringUploadDoesNotCompleteTheAnswer);
+    CPPUNIT_TEST(invalidAnswersAreNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     /// Guards against a call whose pool has endpoints in another region only and that is not relayed there, or whose answer does not come back.
     void callIsRelayedToTheOtherRegion()
     {
-        asio::io_context targetContext(1);
-        page_server target(targetContext);
-        target.addDefault([](const page_request &request) -> asio::awaitable<page_answer> {
-            co_return page_answer {200, "text/plain", "target got " + request.body};
+        const fake_target target([](target_peer &peer) {
+            const auto request = peer.readRequest();
+            peer.answer("target got " + request.substr(request.find("\r\n\r\n") + 4));
         });
-        CPPUNIT_ASSERT(target.start(kTarget));
-        std::thread targetThread([&] {
-            targetContext.run();
+        two_regions regions(target.port());
+        const auto answer = two_regions::awaitAnswer([] {
+            return post("photo");
         });
-        {
-            gateway_instance near(settingsOf("near", "a", "north", 17580));
-            gateway_instance far(settingsOf("far", "c", "south", 17584));
-            near.run(far.hint());
-            far.run(near.hint());
-            const auto answer = awaitAnswer();
-            CPPUNIT_ASSERT_EQUAL(200U, answer.status);
-            CPPUNIT_ASSERT_EQUAL(std::string("target got photo"), answer.body);
-            far.peers().beginStop(far.threads());
-            far.threads().beginStop({.answerBy = clock::now() + 5s});
-            CPPUNIT_ASSERT_EQUAL(std::size_t {0}, far.threads().finish(5s));
-        }
-        targetContext.stop();
-        targetThread.join();
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("target got photo"), answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, regions.stop());
     }
 
-private:
-    /// Repeats the call until the two instances know each other and it succeeds.
-    http_answer awaitAnswer()
+    /// Guards against an answer without a length that ends with a reset at the far instance and that the near one forwards as complete.
+    void resetDuringUploadDoesNotCompleteTheAnswer()
     {
-        const auto until = clock::now() + kRelayAnswerTimeout;
-        tl::expected<http_answer, http_error> answer;
-        while (clock::now() < until) {
-            answer = fetchNow({{"127.13.0.8", 17580}, "POST", "/quotes/4", "photo", "text/plain"}, 5s);
-            if (answer && answer->status == 200) {
-                break;
+        for (const std::string_view head : {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                            "HTTP/1.0 200 OK\r\n\r\n",
+                                            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"}) {
+            const fake_target target(resetDuringUpload(std::string(head) + "part"));
+            two_regions regions(target.port());
+            for (const auto isChunked : {false, true}) {
+                const auto received = two_regions::awaitAnswer([&] {
+                    return uploadAndRead(kNear, "/quotes/4", isChunked);
+                });
+                const auto what = fmt::format("{} chunked={} status={} body={}", head, isChunked, received.status, received.body);
+                CPPUNIT_ASSERT_MESSAGE(what, !received.isWhole || (received.status == 502 && received.ending() == "unknown"));
             }
-            std::this_thread::sleep_for(20ms);
+            CPPUNIT_ASSERT(target.connections() >= 2);
+        }
+    }
+
+    /// Guards against a status or field name that violates HTTP and reaches the caller through a relay.
+    void invalidAnswersAreNotForwarded()
+    {
+        const auto answers = invalidAnswers();
+        std::atomic<std::size_t> index {0};
+        const fake_target target([&](target_peer &peer) {
+            peer.readRequest();
+            peer.send(answers[index]);
+        });
+        two_regions regions(target.port());
+        for (index = 0; index < answers.size(); ++index) {
+            const auto received = two_regions::awaitAnswer([] {
+                return post("photo");
+            });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                answers[index], std::string("502 unknown bad-answer"), fmt::format("{} {} {}", received.status, received.ending(), received.reason()));
         }
-        return answer.value_or(http_answer {});
     }
 };
 
