Bound the memory that all calls of an instance hold

Cause: a body held in memory took its announced length at once, or the whole limit when chunked, and the parser's buffer of an unfinished body kept up to 128 KB; nothing bounded the sum over all calls.

Change: memory_budget decides without a lock whether a call may reserve memory, must wait, or which unfinished bodies end. Held bodies reserve memory as bytes arrive and wait without reading; held answers are streamed and stream buffers are small when there is no memory. Every 200 ms each thread ends those of its own bodies that have made the least progress while calls wait: 503 not-run before an attempt, else a close. A connection that waits for body bytes gives up its empty parser buffer. Settings limits.body_memory_bytes, machine_memory_mb and machine_descriptors; a gauge, a counter and log lines. The flood test now sets body_memory_bytes; crowd and bounds are unchanged.

Heads and relay windows are not charged.

--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -23,6 +23,18 @@
     std::chrono::milliseconds idleTimeout {60'000}; ///< Time after which an idle connection of a caller is closed.
     std::chrono::milliseconds maxDeadline {600'000}; ///< Longest deadline of a call.
 
+    std::uint64_t bodyMemoryBytes = 0; ///< Most memory that all calls hold together; 0: derived, see callMemoryBytes().
+    std::uint64_t machineMemoryMb = 0; ///< Memory of the machine in MB; 0: unknown.
+    std::uint32_t machineDescriptors = 0; ///< Descriptors that the process may open; 0: unknown.
+
+    /// Returns the most memory that all calls hold together: bodyMemoryBytes, or else a share of the machine's memory, or else as much as held bodies of
+    /// callerConnections can use. It is never less than a few held bodies need. Thread safe.
+    std::size_t callMemoryBytes() const;
+
+    /// Returns the most open connections from callers: callerConnections, but only part of machineDescriptors, since calls need connections to targets
+    /// too. Thread safe.
+    std::uint32_t maxCallerConnections() const;
+
     friend bool operator==(const gateway_limits &, const gateway_limits &) = default;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -101,6 +101,9 @@
     fields.readNumber("header_bytes", limits.headerBytes, 1024, 1U << 20U);
     fields.readNumber("held_body_bytes", limits.heldBodyBytes, 0, 16U << 20U);
     fields.readNumber("caller_connections", limits.callerConnections, 1, 1'000'000);
+    fields.readNumber("body_memory_bytes", limits.bodyMemoryBytes, 0, 1ULL << 40U);
+    fields.readNumber("machine_memory_mb", limits.machineMemoryMb, 0, 1U << 24U);
+    fields.readNumber("machine_descriptors", limits.machineDescriptors, 0, 100'000'000);
     fields.read("idle_timeout", limits.idleTimeout, milliseconds(100), milliseconds(3'600'000));
     fields.read("max_deadline", limits.maxDeadline, milliseconds(1), milliseconds(3'600'000));
     fields.rejectUnknown();
@@ -195,6 +198,25 @@
     return match == regions.end() ? region_id {} : match->first;
 }
 
+std::size_t gateway_limits::callMemoryBytes() const
+{
+    constexpr std::uint64_t kBytesPerMb = 1U << 20U;
+    constexpr std::uint64_t kMachineDivisor = 4; // the rest is for heads, connections, the control plane and fragmentation
+    constexpr std::uint64_t kMinHeldBodies = 8;
+    // A held body and the parser's buffer that fills it.
+    const auto perBody = 2 * std::uint64_t {heldBodyBytes};
+    auto bytes = bodyMemoryBytes;
+    if (bytes == 0) {
+        bytes = machineMemoryMb > 0 ? machineMemoryMb * kBytesPerMb / kMachineDivisor : callerConnections * perBody;
+    }
+    return std::max({bytes, kMinHeldBodies * perBody, kBytesPerMb});
+}
+
+std::uint32_t gateway_limits::maxCallerConnections() const
+{
+    return machineDescriptors > 0 ? std::min(callerConnections, std::max(1U, machineDescriptors / 4 * 3)) : callerConnections;
+}
+
 void copyReloadable(const instance_settings &from, instance_settings &to)
 {
     to.logLevel = from.logLevel;
--- a/src/shell/gateway/call_answer.cpp
+++ b/src/shell/gateway/call_answer.cpp
@@ -18,7 +18,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kStreamBufferBytes = 64U << 10U;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 constexpr std::chrono::seconds kLateDeliveryTime {1}; // after the call's time is up, for a caller that reads slowly
@@ -116,7 +115,7 @@
     if (sent && !winner.held().empty()) {
         sent = co_await m_answer.write(winner.held());
     }
-    std::string buffer(kStreamBufferBytes, '\0');
+    std::string buffer(m_memory.streamBufferBytes(), '\0');
     while (sent) {
         const auto count = co_await exchange.read(buffer);
         if (!count) {
--- a/src/shell/gateway/call_attempt.cpp
+++ b/src/shell/gateway/call_attempt.cpp
@@ -1,5 +1,7 @@
 #include "src/shell/gateway/call_attempt.h"
 
+#include "src/shell/gateway/request_body.h"
+
 #include <algorithm>
 
 namespace sequoiawharf
@@ -32,6 +34,7 @@
     : m_index(index)
     , m_definition(definition)
     , m_limit(limit)
+    , m_memory(terms.body.memory())
     , m_exchange(terms, connections, watch, metrics)
     , m_started(std::chrono::steady_clock::now())
 {
@@ -97,12 +100,25 @@
     return length ? *length <= m_limit : !hasContentType(m_exchange.head().headers, kEventStream);
 }
 
-// Reads the answer's body into m_held until it ends, fails or exceeds m_limit. Returns whether m_held is the complete body.
+// Grows m_held to the size. Returns false if there is no memory for it; the answer is then streamed.
+bool call_attempt::grow(std::size_t bytes)
+{
+    if (!m_memory.tryReserve(bytes - m_held.size())) {
+        return false;
+    }
+    m_held.resize(bytes);
+    return true;
+}
+
+// Reads the answer's body into m_held until it ends, fails or exceeds m_limit, or until there is no memory for more. Returns whether m_held is the complete
+// body.
 asio::awaitable<bool> call_attempt::hold()
 {
     const auto length = m_exchange.contentLength();
     std::size_t filled = 0;
-    m_held.resize(length && *length <= m_limit ? *length + 1 : std::min(m_limit + 1, kInitialHeldBytes));
+    if (!grow(length && *length <= m_limit ? *length + 1 : std::min(m_limit + 1, kInitialHeldBytes))) {
+        co_return false;
+    }
     while (true) {
         const auto count = co_await m_exchange.read(std::span<char>(m_held).subspan(filled));
         if (!count) {
@@ -114,7 +130,9 @@
             co_return *count == 0;
         }
         if (filled == m_held.size()) {
-            m_held.resize(std::min(m_limit + 1, 2 * m_held.size()));
+            if (!grow(std::min(m_limit + 1, 2 * m_held.size()))) {
+                co_return false;
+            }
         }
     }
 }
--- a/src/shell/gateway/call_attempt.h
+++ b/src/shell/gateway/call_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/pool_table.h"
+#include "src/shell/gateway/call_memory.h"
 #include "src/shell/gateway/target_exchange.h"
 
 #include <span>
@@ -68,10 +69,12 @@
     boost::asio::awaitable<bool> hold();
     bool hasNotFailed();
     bool mayHold();
+    bool grow(std::size_t bytes);
 
     std::uint32_t m_index;
     const pool &m_definition;
     std::size_t m_limit;
+    call_memory &m_memory;
     target_exchange m_exchange;
     mono_time m_started;
     std::string m_held;
--- a/src/shell/gateway/call_engine.cpp
+++ b/src/shell/gateway/call_engine.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <vector>
 
 namespace sequoiawharf
 {
@@ -77,11 +78,32 @@
     m_readinessChanged.notify();
 }
 
+void call_engine::relieveMemory(mono_time now)
+{
+    const auto awaited = m_shared.memory.awaited();
+    if (awaited == 0) {
+        return;
+    }
+    std::vector<call_memory *> endable;
+    std::vector<body_progress> bodies;
+    for (auto &memory : m_memories) {
+        if (memory.isEndable()) {
+            endable.push_back(&memory);
+            bodies.push_back(memory.progress());
+        }
+    }
+    std::ranges::for_each(bodiesToEnd(bodies, awaited, now), [&](std::size_t index) {
+        endable[index]->end();
+        m_metrics.bodiesEnded.fetch_add(1, std::memory_order_relaxed);
+    });
+}
+
 boost::asio::awaitable<void> call_engine::handle(call_head head, body_source &body, answer_sink &answer)
 {
     const in_flight_guard inFlight(m_metrics.callsInFlight);
     call_run call(*this, head, body, answer);
     m_calls.push_back(call);
+    m_memories.push_back(call.memory());
     co_await call.run();
 }
 
--- a/src/shell/gateway/call_engine.h
+++ b/src/shell/gateway/call_engine.h
@@ -5,6 +5,7 @@
 #include "sequoiawharf/stop_plan.h"
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/admission_gate.h"
+#include "src/shell/gateway/call_memory.h"
 #include "src/shell/gateway/connection_pool.h"
 #include "src/shell/gateway/running_call.h"
 #include "src/shell/gateway/slot_queue.h"
@@ -40,6 +41,9 @@
     /// whether it may have run. Later bounds than those set before have no effect.
     void beginStop(const stop_bounds &bounds);
 
+    /// Ends unfinished bodies while calls wait for memory.
+    void relieveMemory(mono_time now);
+
     /// Returns the bounds that a stop of the instance sets to calls.
     const stop_bounds &stopBounds() const
     {
@@ -97,6 +101,7 @@
     random_source m_random;
     stop_bounds m_stopBounds;
     boost::intrusive::list<running_call, boost::intrusive::constant_time_size<false>> m_calls; ///< The calls in flight.
+    boost::intrusive::list<call_memory, boost::intrusive::constant_time_size<false>> m_memories; ///< Of the calls in flight.
 };
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -41,7 +41,14 @@
     , m_head(head)
     , m_source(body)
     , m_answer(answer)
+    , m_memory(engine.shared().memory, head.received)
 {
+    m_memory.onEnd([this] {
+        if (m_record.attempts() > 0 || m_record.failureEnding() != call_ending::NotRun) {
+            m_answer.abort(); // part of the call may have been sent
+        }
+        m_source.cancel();
+    });
 }
 
 call_run::~call_run()
@@ -202,10 +209,11 @@
 // Reads the beginning of the request's body into memory. Returns a refusal when that fails.
 asio::awaitable<std::optional<refusal>> call_run::holdBody()
 {
-    m_body.emplace(m_source, m_head.contentLength, m_route->maxBodyBytes);
+    m_body.emplace(m_source, m_memory, m_head.contentLength, m_route->maxBodyBytes);
     if (!m_body->isHeld()) {
         m_watch->start();
         const call_watch::scope cancelling(*m_watch, [this] {
+            m_memory.stopWaiting();
             m_source.cancel();
         });
         const auto held = co_await m_body->hold(m_engine.shared().settings.limits.heldBodyBytes);
@@ -238,6 +246,9 @@
         response.sentence = "the body is not valid";
         break;
     case stream_error::TimedOut:
+        if (m_memory.isEnded()) {
+            return memoryRefusal();
+        }
         response = earlyEndRefusal();
         response.status = response.reason == call_reason::DeadlinePassed ? kRequestTimeout : response.status;
         break;
@@ -258,6 +269,17 @@
     return makeRefusal(m_engine.dialect(), m_record.failureEnding(), isCallerGone ? call_reason::CallerGone : call_reason::DeadlinePassed);
 }
 
+// Returns the refusal for a call whose unfinished body was ended to free memory.
+refusal call_run::memoryRefusal() const
+{
+    auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), call_reason::Overloaded);
+    response.sentence = "the body did not arrive while this instance was short of memory";
+    if (response.ending == call_ending::NotRun) {
+        response.retryAfter = kElsewhereRetryAfter;
+    }
+    return response;
+}
+
 // Returns the refusal for a call that the instance cannot serve before it stops.
 refusal call_run::stopRefusal() const
 {
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -6,6 +6,7 @@
 #include "src/shell/call_stream.h"
 #include "src/shell/gateway/admission_gate.h"
 #include "src/shell/gateway/call_attempt.h"
+#include "src/shell/gateway/call_memory.h"
 #include "src/shell/gateway/call_watch.h"
 #include "src/shell/gateway/refusal.h"
 #include "src/shell/gateway/request_body.h"
@@ -38,6 +39,12 @@
 
     void stopAt(mono_time time) override;
 
+    /// Returns the memory that the call holds.
+    call_memory &memory()
+    {
+        return m_memory;
+    }
+
 private:
     // Before the first attempt.
     boost::asio::awaitable<std::optional<refusal>> waitUntilReady();
@@ -47,6 +54,7 @@
     std::optional<refusal> bodyRefusal() const;
     refusal tooLargeRefusal() const;
     refusal earlyEndRefusal() const;
+    refusal memoryRefusal() const;
     refusal stopRefusal() const;
     bool isBoundByStop() const;
     refusal refusalFor(const next_step &step);
@@ -97,6 +105,7 @@
     const organisation *m_organisation = nullptr; ///< Of the caller; null: the route is public, or the configuration holds no organisations.
     call_profile m_profile;
     mono_time m_arrived {}; ///< When the request had been read, including the held part of its body. Set by findRoute() and holdBody().
+    call_memory m_memory;
     std::optional<request_body> m_body;
     std::optional<call_watch> m_watch;
     call_record m_record;
--- a/src/shell/gateway/caller_session.cpp
+++ b/src/shell/gateway/caller_session.cpp
@@ -24,7 +24,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr std::size_t kDrainBufferBytes = 64U << 10U;
+constexpr std::size_t kDrainBufferBytes = 8192; // small, since many connections may be ended at once under pressure
 constexpr std::chrono::seconds kDrainTimeout {2};
 constexpr unsigned kHeaderTooLarge = 431;
 constexpr unsigned kVersion11 = 11;
@@ -223,6 +223,8 @@
     if (error) {
         co_return;
     }
+    m_connection->buffer.clear();
+    m_connection->buffer.shrink_to_fit();
     asio::steady_timer timer(socket.get_executor(), kDrainTimeout);
     timer.async_wait([connection = m_connection](const boost::system::error_code &cancelled) {
         if (!cancelled) {
--- a/src/shell/gateway/gateway_shared.h
+++ b/src/shell/gateway/gateway_shared.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sequoiawharf/memory_budget.h"
 #include "sequoiawharf/settings.h"
 #include "sequoiawharf/time.h"
 #include "src/base/rcu_snapshot.h"
@@ -38,6 +39,7 @@
     const call_dialect &dialect;
     rcu_snapshot<readiness> ready;
     admission_gate::waker wake; ///< Set before the threads start.
+    memory_budget memory {settings.limits.callMemoryBytes()}; ///< Of all calls.
     std::atomic<bool> isStopping {false}; ///< Connections of callers are closed after their next answer.
     std::atomic<bool> isClosingIdle {false}; ///< Idle connections of callers are closed.
     std::atomic<std::uint32_t> callerConnections {0}; ///< Number of open connections of callers.
--- a/src/shell/gateway/gateway_thread.cpp
+++ b/src/shell/gateway/gateway_thread.cpp
@@ -26,6 +26,7 @@
 constexpr std::string_view kThreadPart = "gateway";
 constexpr std::chrono::milliseconds kMaintenanceInterval {200};
 constexpr std::chrono::milliseconds kAcceptRetryDelay {20}; // after a failed accept, for example for lack of file descriptors
+constexpr unsigned kCalmTicks = 10; // intervals without a wait for memory after which the pressure has ended
 constexpr std::chrono::seconds kTargetIdleTimeout {30};
 constexpr std::chrono::milliseconds kStoppingIdleTimeout {1000}; // idle time after which a stopping instance closes a caller's connection
 constexpr std::string_view kTooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 44\r\nConnection: close\r\n"
@@ -135,7 +136,7 @@
             co_return;
         }
         const auto open = m_shared.callerConnections.fetch_add(1, std::memory_order_relaxed);
-        if (open >= m_shared.settings.limits.callerConnections) {
+        if (open >= m_shared.settings.limits.maxCallerConnections()) {
             m_shared.callerConnections.fetch_sub(1, std::memory_order_relaxed);
             asio::co_spawn(m_context, rejectConnection(std::move(socket)), asio::detached);
             continue;
@@ -177,6 +178,10 @@
     m_engine.gate().tidy();
     m_engine.slotQueue().tidy(now);
     m_engine.setProbeRate(now);
+    m_engine.relieveMemory(now);
+    if (m_index == 0) {
+        reportMemory();
+    }
     std::erase_if(m_sessions, [](const auto &session) {
         return session.expired();
     });
@@ -189,4 +194,22 @@
     });
 }
 
+// Publishes the memory that the calls of all threads hold, and logs when pressure begins and ends.
+void gateway_thread::reportMemory()
+{
+    const auto &memory = m_shared.memory;
+    m_engine.metrics().callMemoryBytes.store(static_cast<std::int64_t>(memory.held()), std::memory_order_relaxed);
+    m_calmTicks = memory.awaited() > 0 ? 0 : m_calmTicks + 1;
+    const bool isPressed = m_calmTicks < kCalmTicks;
+    if (isPressed != m_isMemoryPressed) {
+        m_isMemoryPressed = isPressed;
+        logTo(isPressed ? log_level::Warning : log_level::Info,
+              kThreadPart,
+              "{} held_bytes={} limit_bytes={}",
+              isPressed ? "Calls wait for memory." : "Calls no longer wait for memory.",
+              memory.held(),
+              memory.limit());
+    }
+}
+
 } // namespace sequoiawharf
--- a/src/shell/gateway/gateway_thread.h
+++ b/src/shell/gateway/gateway_thread.h
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> rejectConnection(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_session> session);
     void runMaintenance();
+    void reportMemory();
 
     gateway_shared &m_shared;
     unsigned m_index;
@@ -71,6 +72,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::weak_ptr<caller_session>> m_sessions;
     std::thread m_thread;
+    unsigned m_calmTicks = 1000; ///< Maintenance intervals since a call waited for memory.
+    bool m_isMemoryPressed = false;
 };
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/request_body.h
+++ b/src/shell/gateway/request_body.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/shell/call_stream.h"
+#include "src/shell/gateway/call_memory.h"
 
 #include <string>
 #include <string_view>
@@ -13,11 +14,13 @@
 class request_body : public body_source
 {
 public:
-    /// length: announced length in bytes; empty: unknown. maxBytes: size above which reading fails with TooLarge. caller outlives the object.
-    request_body(body_source &caller, std::optional<std::uint64_t> length, std::uint64_t maxBytes);
+    /// length: announced length in bytes; empty: unknown. maxBytes: size above which reading fails with TooLarge. caller and memory outlive the
+    /// object.
+    request_body(body_source &caller, call_memory &memory, std::optional<std::uint64_t> length, std::uint64_t maxBytes);
 
     /// Reads ahead up to limit bytes, or one more to detect a longer body of unknown length; reads nothing if the announced length exceeds the limit.
-    /// Returns the number of bytes read ahead. Precondition: called once, before read().
+    /// Memory is reserved as bytes arrive; while there is none, nothing is read. Returns the number of bytes read ahead, or TimedOut if the reservation
+    /// was given up. Precondition: called once, before read().
     stream_awaitable<std::size_t> hold(std::size_t limit);
 
     /// Returns whether the whole body is in memory.
@@ -38,6 +41,12 @@
         return m_isComplete || !m_wasForwarded;
     }
 
+    /// Returns the memory that the call holds.
+    call_memory &memory() const
+    {
+        return m_memory;
+    }
+
     /// Moves the read position to the beginning. Precondition: isReplayable().
     void rewind();
 
@@ -56,6 +65,7 @@
     stream_awaitable<std::size_t> readCaller(std::span<char> buffer);
 
     body_source &m_caller;
+    call_memory &m_memory;
     std::optional<std::uint64_t> m_length;
     std::uint64_t m_maxBytes;
     std::uint64_t m_received = 0;
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -30,7 +30,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view kExchangePart = "gateway";
-constexpr std::size_t kUploadBufferBytes = 64U << 10U;
 constexpr std::size_t kReservedHeadBytes = 1024; // enough for most request heads
 constexpr unsigned kMaxInterimAnswers = 16; // of one call; a target that sends more may never send the final one
 constexpr unsigned kFirstFinalStatus = 200;
@@ -198,11 +197,12 @@
 // Forwards the body while the caller sends it. Returns whether it was forwarded to its end.
 asio::awaitable<bool> target_exchange::streamBody()
 {
-    std::string piece(kUploadBufferBytes, '\0');
+    std::string piece(m_terms.body.memory().streamBufferBytes(), '\0');
     const bool isChunked = !m_terms.head.contentLength;
     while (true) {
         const auto count = co_await m_terms.body.read(piece);
         if (!count) {
+            m_isCancelled = m_isCancelled || m_terms.body.memory().isEnded(); // not a fault of the endpoint
             m_connection->close();
             co_return false;
         }
--- a/src/shell/metrics/gateway_metrics.cpp
+++ b/src/shell/metrics/gateway_metrics.cpp
@@ -120,6 +120,8 @@
     printBytes(out, m_threads);
     printSum(out, m_threads, "sequoiawharf_calls_in_flight", "gauge", "Calls that have come and not ended.", &thread_metrics::callsInFlight);
     printSum(out, m_threads, "sequoiawharf_caller_connections", "gauge", "Open connections of callers.", &thread_metrics::callerConnections);
+    printSum(out, m_threads, "sequoiawharf_call_memory_bytes", "gauge", "Memory that calls hold.", &thread_metrics::callMemoryBytes);
+    printSum(out, m_threads, "sequoiawharf_bodies_ended_total", "counter", "Unfinished bodies ended to free memory.", &thread_metrics::bodiesEnded);
     printSum(out, m_threads, "sequoiawharf_attempts_total", "counter", "Attempts of calls at endpoints.", &thread_metrics::attempts);
     printSum(out, m_threads, "sequoiawharf_retries_total", "counter", "Attempts after a failed one.", &thread_metrics::retries);
     printSum(out, m_threads, "sequoiawharf_relays_total", "counter", "Calls carried to another region.", &thread_metrics::relays);
--- a/src/shell/metrics/gateway_metrics.h
+++ b/src/shell/metrics/gateway_metrics.h
@@ -34,6 +34,8 @@
     std::atomic<std::uint64_t> connectionsClosed {0};
     std::atomic<std::uint64_t> rests {0}; ///< Answers by which an endpoint asked for a rest.
     std::atomic<std::uint64_t> unreadableRests {0}; ///< Answers that asked for a rest without a readable time.
+    std::atomic<std::uint64_t> bodiesEnded {0}; ///< Unfinished bodies that were ended to free memory.
+    std::atomic<std::int64_t> callMemoryBytes {0}; ///< Held by the calls of all threads; set by the first thread only.
     std::atomic<std::int64_t> callsInFlight {0};
     std::atomic<std::int64_t> callerConnections {0};
     std::array<added_time, kRouteClassCount> addedTime;
--- a/src/shell/net/message_reader.cpp
+++ b/src/shell/net/message_reader.cpp
@@ -100,6 +100,23 @@
     co_return count;
 }
 
+// As fill(), but holds no more than the bytes received so far while it waits for more.
+message_awaitable<std::size_t> message_reader::fillBody(std::size_t bytes)
+{
+    boost::system::error_code error;
+    if (bytes > kIdleBufferBytes || m_buffer.capacity() > kIdleBufferBytes) {
+        const auto available = m_socket.available(error);
+        if (!error && available == 0) {
+            m_buffer.shrink_to_fit();
+            co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error) {
+            co_return lost();
+        }
+    }
+    co_return co_await fill(bytes);
+}
+
 // Reads until the buffer begins with a complete header section and returns the section's size in bytes.
 message_awaitable<std::size_t> message_reader::fillHeader()
 {
@@ -180,7 +197,7 @@
         if (m_buffer.size() >= m_headerLimit + kBodyReadBytes) {
             co_return malformed("a chunk's header is larger than allowed");
         }
-        const auto count = co_await fill(kBodyReadBytes);
+        const auto count = co_await fillBody(std::clamp(piece.size(), kHeaderReadBytes, kBodyReadBytes));
         if (!count) {
             co_return lost();
         }
--- a/src/shell/net/message_reader.h
+++ b/src/shell/net/message_reader.h
@@ -57,6 +57,7 @@
     template<typename parser_type> message_awaitable<std::size_t> readBodyOf(parser_type &parser, std::span<char> piece);
     message_awaitable<std::size_t> fillHeader();
     message_awaitable<std::size_t> fill(std::size_t bytes);
+    message_awaitable<std::size_t> fillBody(std::size_t bytes);
 
     boost::asio::ip::tcp::socket &m_socket;
     boost::beast::flat_buffer &m_buffer;
--- a/tests/flood/flood_test.cpp
+++ b/tests/flood/flood_test.cpp
@@ -27,7 +27,7 @@
 #endif
 
 // As on the users' platform: bodies of the crowd's size are held whole.
-constexpr auto kLimits = "  held_body_bytes: 524288\n";
+constexpr auto kLimits = "  held_body_bytes: 524288\n  body_memory_bytes: 16777216\n";
 
 std::string head(std::string_view framing)
 {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(listsAllFaultsAtOnce);
     CPPUNIT_TEST(refusesDataCentreOfAnotherRegion);
     CPPUNIT_TEST(refusesMalformedYaml);
+    CPPUNIT_TEST(memoryOfCallsFollowsTheMachine);
     CPPUNIT_TEST(reloadAppliesOnlyChangeableSettings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +56,20 @@
         CPPUNIT_ASSERT(mixed.next.threads == running.threads && mixed.next.logLevel == "debug");
     }
 
+    // Guards against a default that calls inside the limits meet, and against a share that exceeds a small machine.
+    void memoryOfCallsFollowsTheMachine()
+    {
+        const auto limitsOf = [](const std::string &text) {
+            return parseSettings(kMinimal + "limits: {held_body_bytes: 524288" + text + "}\n")->limits;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t {20'000} * 2 * 524'288, limitsOf("").callMemoryBytes());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {40} << 20U, limitsOf(", machine_memory_mb: 160").callMemoryBytes());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {16} << 20U, limitsOf(", machine_memory_mb: 160, body_memory_bytes: 16777216").callMemoryBytes());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {8} << 20U, limitsOf(", body_memory_bytes: 1").callMemoryBytes());
+        CPPUNIT_ASSERT_EQUAL(20'000U, limitsOf("").maxCallerConnections());
+        CPPUNIT_ASSERT_EQUAL(3075U, limitsOf(", machine_descriptors: 4100").maxCallerConnections());
+    }
+
     void readsMinimalSettings()
     {
         const auto settings = parseSettings(kMinimal + "directory_lifetime: 3s\n");
