--- a/include/sequoiawharf/reading_plan.h
+++ b/include/sequoiawharf/reading_plan.h
@@ -27,6 +27,10 @@
     /// Returns times with which the instance that reads for its data centre notices within the bound that its connection has fallen silent, early enough for
     /// the others to get a configuration from it within the bound. Thread safe.
     static poll_times within(std::chrono::milliseconds configurationBound);
+
+    /// Returns times with which the answers to the reads of one instance prove to all instances of its data centre that their configuration is recent
+    /// enough for keyed calls. Thread safe.
+    static poll_times withinRevocation(std::chrono::milliseconds revocationBound);
 };
 
 /// Timeout of a query to another instance of the data centre. A healthy instance answers in a few milliseconds.
--- a/src/discovery/reading_plan.cpp
+++ b/src/discovery/reading_plan.cpp
@@ -40,6 +40,12 @@
     return {.wait = configurationBound * 3 / 10, .answerTimeout = configurationBound * 3 / 20};
 }
 
+// A proof counts from the time at which the poll was sent, so it is up to two waits old when the next one arrives.
+poll_times poll_times::withinRevocation(milliseconds revocationBound)
+{
+    return {.wait = revocationBound / 5, .answerTimeout = revocationBound * 3 / 20};
+}
+
 reading_role chooseReadingRole(const instance_id &self, std::vector<instance_id> others, bool isStarting)
 {
     std::ranges::sort(others, std::ranges::greater {}, readerWeight);
--- a/src/shell/net/clock.h
+++ b/src/shell/net/clock.h
@@ -2,6 +2,8 @@
 
 #include "sequoiawharf/time.h"
 
+#include <ctime>
+
 namespace sequoiawharf
 {
 
@@ -11,4 +13,12 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Returns the time of CLOCK_BOOTTIME. Thread safe.
+inline boot_time bootNow()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return boot_time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 } // namespace sequoiawharf
--- a/tests/discovery/reading_plan_test.cpp
+++ b/tests/discovery/reading_plan_test.cpp
@@ -1,5 +1,7 @@
 #include "sequoiawharf/reading_plan.h"
 
+#include "sequoiawharf/configuration_freshness.h"
+
 #include "tests/property.h"
 
 #include <algorithm>
@@ -46,6 +48,7 @@
     CPPUNIT_TEST(anInstanceThatKnowsNoOthersReads);
     CPPUNIT_TEST(aReaderThatLosesTheServiceIsNoticedWithinTheBound);
     CPPUNIT_TEST(aSilentPollLeavesTimeToPassAConfigurationOn);
+    CPPUNIT_TEST(proofsStayYoungEnoughForKeyedCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +132,25 @@
             CPPUNIT_ASSERT_MESSAGE("a service that is fifty times slower than usual answers in time", poll.answerTimeout > 300ms);
         }
     }
+
+    // Guards against keyed calls that are refused in ordinary operation, because the proof that an instance gets from its data centre's reader is too old
+    // between two of its queries.
+    void proofsStayYoungEnoughForKeyedCalls()
+    {
+        constexpr auto kAnswerTime = 300ms; // of the service in another region, connection setup included
+        constexpr auto kMaxRetryPause = 150ms; // after one lost poll
+        for (const auto bound : {4000ms, 5000ms, 10'000ms}) {
+            for (const auto leavingBound : {2500ms, 3000ms}) {
+                const auto poll = poll_times::withinRevocation(bound);
+                CPPUNIT_ASSERT(poll.wait <= bound / 5);
+                const auto passOn = reading_times::within(leavingBound).askInterval + kAskTimeout + configuration_freshness::kMargin;
+                CPPUNIT_ASSERT(2 * (poll.wait + kAnswerTime) + passOn <= bound);
+                // With the bound of the platform, one lost poll of the reader causes no refusals either.
+                const auto replaced = poll.wait + (poll.wait + poll.answerTimeout) + kMaxRetryPause + kAnswerTime;
+                CPPUNIT_ASSERT(bound < 5000ms || replaced + passOn <= bound);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(reading_plan_test);
