Add the setting revocation_bound

Purpose: only deployments that ask for it check that their configuration is recent before they admit keys.

Change: revocation_bound, 0 (off) by default or 4 s to 60 s; with less, proofs that instances get from one another are too old in ordinary operation.

Evidence: test_settings (6) passes.

--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -96,6 +96,7 @@
     std::chrono::milliseconds leavingBound {3000}; ///< Time within which an endpoint that announced that it is leaving gets no new calls any more.
     bool isFirstStart = false; ///< All instances are starting for the first time, at about the same time, and there are no calls yet.
     std::chrono::milliseconds configurationBound {0}; ///< Time within which a new configuration must be in force on all instances; 0: as soon as possible.
+    std::chrono::milliseconds revocationBound {0}; ///< Time after which a key that a configuration removed admits no call; 0: as soon as possible.
 
     /// Returns the region of a data centre, or an empty id when no region lists it. Thread safe.
     region_id regionOf(const data_centre_id &centre) const;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -130,6 +130,9 @@
     fields.rejectUnknown();
 }
 
+// With a shorter bound, the proof of an instance that asks another one is too old in ordinary operation (reading_plan_test adds up the parts).
+constexpr milliseconds kMinRevocationBound {4000};
+
 void checkCrossFieldRules(const instance_settings &settings, yaml_fields &fields)
 {
     if (std::ranges::find(kLogLevels, settings.logLevel) == kLogLevels.end()) {
@@ -138,6 +141,9 @@
     if (!settings.dataCentre.empty() && settings.regionOf(settings.dataCentre) != settings.region) {
         fields.fault("data_centre", fmt::format("is not listed under region \"{}\" in \"regions\"", settings.region.str()));
     }
+    if (settings.revocationBound.count() > 0 && settings.revocationBound < kMinRevocationBound) {
+        fields.fault("revocation_bound", fmt::format("must be 0ms or at least {}ms", kMinRevocationBound.count()));
+    }
 }
 
 instance_settings readSettings(const YAML::Node &root, std::vector<table_fault> &faults)
@@ -173,6 +179,7 @@
     fields.read("leaving_bound", settings.leavingBound, milliseconds(100), milliseconds(60'000));
     fields.read("first_start", settings.isFirstStart);
     fields.read("configuration_bound", settings.configurationBound, milliseconds(0), milliseconds(60'000));
+    fields.read("revocation_bound", settings.revocationBound, milliseconds(0), milliseconds(60'000));
     fields.read("stop_deadline", settings.stopDeadline, milliseconds(100), milliseconds(3'600'000));
     fields.readSeconds("grace_seconds", settings.stopDeadline, std::chrono::seconds(3600));
     readLimits(fields, settings.limits, faults);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(refusesDataCentreOfAnotherRegion);
     CPPUNIT_TEST(refusesMalformedYaml);
     CPPUNIT_TEST(reloadAppliesOnlyChangeableSettings);
+    CPPUNIT_TEST(revocationBoundIsOffOrLongEnough);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +56,15 @@
         CPPUNIT_ASSERT(mixed.next.threads == running.threads && mixed.next.logLevel == "debug");
     }
 
+    // Guards against a bound with which all keyed calls would be refused, and against a bound in force that nobody asked for.
+    void revocationBoundIsOffOrLongEnough()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {0}, std::int64_t {parseSettings(kMinimal)->revocationBound.count()});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {5000}, std::int64_t {parseSettings(kMinimal + "revocation_bound: 5000ms\n")->revocationBound.count()});
+        const auto tooShort = parseSettings(kMinimal + "revocation_bound: 3999ms\n");
+        CPPUNIT_ASSERT(!tooShort && mentions(tooShort.error(), "at least 4000ms", 9));
+    }
+
     void readsMinimalSettings()
     {
         const auto settings = parseSettings(kMinimal + "directory_lifetime: 3s\n");
