Refuse calls with a key while the configuration may be out of date

Purpose: an instance that does not know whether its configuration is the newest one can neither admit a key, which may be revoked, nor call one unknown, which may be new.

Change: the gateway takes a configuration_freshness. The proof is checked before the routing is loaded, so that a proof for a newer version never admits a key of an older one. Without a bound nothing is checked and no clock is read.

The configurations of gateway_rig have version 1 instead of 0, which no existing test depends on.

--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -1,5 +1,6 @@
 #include "src/shell/gateway/call_run.h"
 
+#include "sequoiawharf/configuration_freshness.h"
 #include "sequoiawharf/event.h"
 #include "sequoiawharf/readiness_wait.h"
 #include "sequoiawharf/routing.h"
@@ -137,7 +138,13 @@
 // Sets the route, the balancer and the profile of the call. Returns a refusal when that fails.
 std::optional<refusal> call_run::findRoute()
 {
+    // The proof must be checked before the routing is loaded: otherwise a proof for a newer version could admit a key of an older one.
+    const auto *const freshness = m_engine.shared().freshness;
+    m_isConfigurationFresh = freshness == nullptr || !freshness->isOn() || freshness->admitsKeyedCalls(bootNow());
     m_routing = m_engine.shared().routings.load();
+    if (!m_isConfigurationFresh && m_routing->config().version == 0) {
+        return staleRefusal();
+    }
     const auto path = std::string_view(m_head.path).substr(0, m_head.path.find('?'));
     m_route = m_routing->config().routes.find(m_head.host, m_head.method, path);
     if (m_route == nullptr) {
@@ -163,7 +170,7 @@
 }
 
 // Sets the organisation of the caller, where the configuration holds any, and removes the caller's credentials from the fields to forward. Returns a
-// refusal when the route needs a key and no organisation holds the one that the caller presented.
+// refusal when the route needs a key and no organisation holds the one that the caller presented, or when this cannot be told.
 std::optional<refusal> call_run::identifyCaller()
 {
     const auto &organisations = m_routing->config().organisations;
@@ -183,6 +190,9 @@
     if (m_route->isPublic) {
         return std::nullopt;
     }
+    if (!m_isConfigurationFresh) {
+        return staleRefusal();
+    }
     m_organisation = m_routing->findOrganisation(key);
     if (m_organisation == nullptr) {
         return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::UnknownKey);
@@ -191,6 +201,14 @@
     return std::nullopt;
 }
 
+// Returns the refusal for a call whose key cannot be checked, since a newer configuration may have removed or added it.
+refusal call_run::staleRefusal() const
+{
+    auto response = makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::ConfigurationStale);
+    response.retryAfter = kElsewhereRetryAfter;
+    return response;
+}
+
 refusal call_run::tooLargeRefusal() const
 {
     auto response = makeRefusal(m_engine.dialect(), m_record.failureEnding(), call_reason::BadRequest);
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -46,6 +46,7 @@
     boost::asio::awaitable<std::optional<refusal>> holdBody();
     std::optional<refusal> bodyRefusal() const;
     refusal tooLargeRefusal() const;
+    refusal staleRefusal() const;
     refusal earlyEndRefusal() const;
     refusal stopRefusal() const;
     bool isBoundByStop() const;
@@ -95,6 +96,7 @@
     balancer_ptr m_balancer;
     const route *m_route = nullptr;
     const organisation *m_organisation = nullptr; ///< Of the caller; null: the route is public, or the configuration holds no organisations.
+    bool m_isConfigurationFresh = true; ///< Keys may be checked. Set by findRoute().
     call_profile m_profile;
     mono_time m_arrived {}; ///< When the request had been read, including the held part of its body. Set by findRoute() and holdBody().
     std::optional<request_body> m_body;
--- a/src/shell/gateway/gateway.cpp
+++ b/src/shell/gateway/gateway.cpp
@@ -43,7 +43,8 @@
                  std::vector<relay_client *> relays,
                  event_sink &events,
                  gateway_metrics &metrics,
-                 const call_dialect &dialect)
+                 const call_dialect &dialect,
+                 const configuration_freshness *freshness)
     : m_shared(std::unique_ptr<gateway_shared>(new gateway_shared {settings,
                                                                    routings,
                                                                    entries,
@@ -51,6 +52,7 @@
                                                                    events,
                                                                    metrics,
                                                                    dialect,
+                                                                   freshness,
                                                                    rcu_snapshot<readiness>(makeReadiness(false, "it is starting", monoNow())),
                                                                    {}}))
 {
--- a/src/shell/gateway/gateway.h
+++ b/src/shell/gateway/gateway.h
@@ -22,6 +22,7 @@
 
 class directory;
 class event_sink;
+class configuration_freshness;
 class gateway_metrics;
 class gateway_thread;
 class routing;
@@ -32,14 +33,16 @@
 class gateway
 {
 public:
-    /// relays: one relay client for each thread, or none, in which case no call leaves the region. All arguments outlive the gateway.
+    /// relays: one relay client for each thread, or none, in which case no call leaves the region. freshness: decides whether calls with a key are admitted;
+    /// null: always. All arguments outlive the gateway.
     gateway(const instance_settings &settings,
             const rcu_snapshot<routing> &routings,
             const directory &entries,
             std::vector<relay_client *> relays,
             event_sink &events,
             gateway_metrics &metrics,
-            const call_dialect &dialect = ownDialect());
+            const call_dialect &dialect = ownDialect(),
+            const configuration_freshness *freshness = nullptr);
 
     /// Stops the threads at once, which cuts calls in flight. For a graceful stop, call finish() first.
     ~gateway();
--- a/src/shell/gateway/gateway_shared.h
+++ b/src/shell/gateway/gateway_shared.h
@@ -15,6 +15,7 @@
 {
 
 class call_dialect;
+class configuration_freshness;
 class directory;
 class event_sink;
 class gateway_metrics;
@@ -36,6 +37,7 @@
     event_sink &events;
     gateway_metrics &metrics;
     const call_dialect &dialect;
+    const configuration_freshness *freshness; ///< Null: keyed calls need no freshness proof.
     rcu_snapshot<readiness> ready;
     admission_gate::waker wake; ///< Set before the threads start.
     std::atomic<bool> isStopping {false}; ///< Connections of callers are closed after their next answer.
--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -180,12 +180,13 @@
     });
     config->routes = route_table(std::move(routes));
     config->organisations = organisations;
+    config->version = version;
     config->pools = pool_table({targetPool});
     const std::shared_ptr<const selection_policy> policy = makeSelectionPolicy("two-choices");
     CPPUNIT_ASSERT(policy != nullptr);
     m_routing.store(
         std::make_shared<const routing>(config, locality {settings.id, settings.dataCentre, {}, 1}, policy, routing {}, std::chrono::steady_clock::now()));
-    m_gateway = std::make_unique<gateway>(settings, m_routing, m_directory, m_relays, m_events, m_metrics);
+    m_gateway = std::make_unique<gateway>(settings, m_routing, m_directory, m_relays, m_events, m_metrics, ownDialect(), freshness);
     const auto started = m_gateway->start();
     CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error(), started.has_value());
     m_gateway->setReady(true, "");
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -2,6 +2,7 @@
 
 #include "fake_target.h"
 
+#include "sequoiawharf/configuration_freshness.h"
 #include "sequoiawharf/directory.h"
 #include "sequoiawharf/event.h"
 #include "sequoiawharf/routing.h"
@@ -126,6 +127,8 @@
     pool targetPool;
     organisation_table organisations;
     bool hasPublicRoutes = false; ///< All routes are public.
+    config_version version = 1; ///< Of the configuration.
+    const configuration_freshness *freshness = nullptr; ///< Outlives the rig.
 
 private:
     std::vector<relay_client *> m_relays;
--- a/tests/gateway/key_test.cpp
+++ b/tests/gateway/key_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_rig.h"
 
+#include "src/shell/net/clock.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <mutex>
@@ -55,6 +57,8 @@
     CPPUNIT_TEST(callsWithoutAKnownKeyAreRefusedUnrun);
     CPPUNIT_TEST(publicRoutesNeedNoKey);
     CPPUNIT_TEST(credentialsPassUnchangedWithoutOrganisations);
+    CPPUNIT_TEST(keyedCallsNeedARecentConfiguration);
+    CPPUNIT_TEST(aStaleConfigurationAffectsNoCallWithoutAKey);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +114,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/x", {}, "Authorization: Bearer key-1\r\n").ending());
         CPPUNIT_ASSERT(recorder.last().find("Authorization: Bearer key-1\r\n") != std::string::npos);
     }
+
+    // Guards against a revoked key that still runs calls, and against a new key that is refused for good, at an instance that no longer hears of
+    // configurations.
+    void keyedCallsNeedARecentConfiguration()
+    {
+        configuration_freshness freshness(std::chrono::milliseconds(5000));
+        recording_target recorder;
+        gateway_rig rig({&recorder.target()});
+        rig.organisations = sampleOrganisations();
+        rig.freshness = &freshness;
+        rig.start();
+        test_caller caller(rig.address());
+        const auto expectStale = [&] {
+            for (const auto *fields : {"Authorization: Bearer key-1\r\n", "Authorization: Bearer key-2\r\n", ""}) {
+                const auto received = caller.call("GET", "/x", {}, fields);
+                CPPUNIT_ASSERT_EQUAL(503U, received.status);
+                CPPUNIT_ASSERT_EQUAL(std::string("not-run configuration-stale"), received.endingAndReason());
+            }
+        };
+        expectStale();
+        freshness.recordOwnRead(bootNow() - std::chrono::milliseconds(4751), 1);
+        expectStale();
+        CPPUNIT_ASSERT_EQUAL(0, recorder.target().runs());
+        freshness.recordOwnRead(bootNow(), 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), caller.call("GET", "/x", {}, "Authorization: Bearer key-1\r\n").ending());
+        CPPUNIT_ASSERT_EQUAL(401U, caller.call("GET", "/x", {}, "Authorization: Bearer key-2\r\n").status);
+    }
+
+    // Guards the calls that no revocation can concern, and against a 404 from an instance that has no configuration yet.
+    void aStaleConfigurationAffectsNoCallWithoutAKey()
+    {
+        const configuration_freshness stale(std::chrono::milliseconds(5000));
+        recording_target recorder;
+        gateway_rig rig({&recorder.target()});
+        rig.freshness = &stale;
+        rig.start();
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), test_caller(rig.address()).call("GET", "/x").ending());
+        rig.organisations = sampleOrganisations();
+        rig.hasPublicRoutes = true;
+        rig.start();
+        CPPUNIT_ASSERT_EQUAL(std::string("answered"), test_caller(rig.address()).call("GET", "/x").ending());
+        rig.version = 0;
+        rig.start();
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run configuration-stale"), test_caller(rig.address()).call("GET", "/x").endingAndReason());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(key_test);
