--- a/src/shell/gateway/gateway_shared.h
+++ b/src/shell/gateway/gateway_shared.h
@@ -16,6 +16,7 @@
 {
 
 class call_dialect;
+class configuration_freshness;
 class directory;
 class event_sink;
 class gateway_metrics;
@@ -37,6 +38,7 @@
     event_sink &events;
     gateway_metrics &metrics;
     const call_dialect &dialect;
+    const configuration_freshness *freshness; ///< Null: keyed calls need no freshness proof.
     rcu_snapshot<readiness> ready;
     admission_gate::waker wake; ///< Set before the threads start.
     memory_budget memory {settings.limits.callMemoryBytes()}; ///< Of all calls.
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(refusesMalformedYaml);
     CPPUNIT_TEST(memoryOfCallsFollowsTheMachine);
     CPPUNIT_TEST(reloadAppliesOnlyChangeableSettings);
+    CPPUNIT_TEST(revocationBoundIsOffOrLongEnough);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +71,15 @@
         CPPUNIT_ASSERT_EQUAL(3075U, limitsOf(", machine_descriptors: 4100").maxCallerConnections());
     }
 
+    // Guards against a bound with which all keyed calls would be refused, and against a bound in force that nobody asked for.
+    void revocationBoundIsOffOrLongEnough()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {0}, std::int64_t {parseSettings(kMinimal)->revocationBound.count()});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t {5000}, std::int64_t {parseSettings(kMinimal + "revocation_bound: 5000ms\n")->revocationBound.count()});
+        const auto tooShort = parseSettings(kMinimal + "revocation_bound: 3999ms\n");
+        CPPUNIT_ASSERT(!tooShort && mentions(tooShort.error(), "at least 4000ms", 9));
+    }
+
     void readsMinimalSettings()
     {
         const auto settings = parseSettings(kMinimal + "directory_lifetime: 3s\n");
