--- a/include/sequoiawharf/attempt.h
+++ b/include/sequoiawharf/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/call_ending.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/route_table.h"
 #include "sequoiawharf/time.h"
 
@@ -20,6 +21,7 @@
     unsigned depth = 0; ///< Number of calls in the chain of callers above this one.
     std::uint64_t callerHash = 0;
     unsigned maxAttempts = 0; ///< Maximum number of endpoints to which the call may be sent; 0: the pool's own maximum.
+    centre_mask centres = kAllCentres; ///< Data centres whose endpoints may serve the call: those of its homes, evacuated ones included.
 };
 
 /// How one attempt at one endpoint ended.
--- a/include/sequoiawharf/call_queue.h
+++ b/include/sequoiawharf/call_queue.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -38,9 +39,9 @@
     /// overloaded.
     std::optional<waiting_call> push(const waiting_call &call);
 
-    /// Removes and returns the first call whose deadline is later than now + minTime, or nothing. minTime: the shortest time in which a call can be
-    /// answered.
-    std::optional<waiting_call> pop(mono_time now, std::chrono::nanoseconds minTime);
+    /// Removes and returns the first call whose deadline is later than now + minTime and that mayTake, if given, accepts; nothing when there is none.
+    /// minTime: the shortest time in which a call can be answered.
+    std::optional<waiting_call> pop(mono_time now, std::chrono::nanoseconds minTime, const std::function<bool(const waiting_call &)> &mayTake = {});
 
     /// Removes and returns all calls whose deadline is not later than now + minTime; they end as not run.
     std::vector<waiting_call> takeExpired(mono_time now, std::chrono::nanoseconds minTime);
@@ -48,7 +49,8 @@
     /// Removes the call with the token. Returns whether the queue held it.
     bool remove(std::uint64_t token);
 
-    /// Returns whether a call with this profile would be first in order if it were pushed now.
+    /// Returns whether a call with this profile would be first in order if it were pushed now. Calls that may not use all data centres of this one do not
+    /// count, since slots there may pass them by.
     bool isFirst(const call_profile &call) const;
 
     std::size_t size() const
--- a/include/sequoiawharf/directory.h
+++ b/include/sequoiawharf/directory.h
@@ -30,9 +30,9 @@
 public:
     virtual ~directory() = default;
 
-    /// Returns a few live instances, those nearest to the given data centre first. near: data centre of the caller; empty: this instance's own.
-    /// Thread safe.
-    virtual directory_answer lookup(const data_centre_id &near, mono_time now, random_source &random) const = 0;
+    /// Returns a few live instances, those nearest to the given data centre first. near: data centre of the caller; empty: this instance's own. homes:
+    /// the regions that serve the caller's calls; instances of other regions are named only in the caller's own region; empty: all regions. Thread safe.
+    virtual directory_answer lookup(const data_centre_id &near, const std::vector<region_id> &homes, mono_time now, random_source &random) const = 0;
 };
 
 } // namespace sequoiawharf
--- a/include/sequoiawharf/far_capacity.h
+++ b/include/sequoiawharf/far_capacity.h
@@ -4,6 +4,7 @@
 #include "sequoiawharf/configuration.h"
 #include "sequoiawharf/heartbeat.h"
 #include "sequoiawharf/member.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/random_source.h"
 #include "sequoiawharf/time.h"
 
@@ -31,18 +32,21 @@
     struct reachable_centre {
         region_id region;
         std::vector<member_row> entries; ///< Not empty.
+        centre_mask centre = kAllCentres; ///< The bit of the data centre.
     };
 
     far_capacity() = default;
     far_capacity(std::vector<reachable_centre> centres, std::unordered_map<std::uint32_t, std::vector<weighted_centre>> centresByPool);
 
-    /// Returns whether an instance of another region can take a call of the pool. Thread safe.
-    bool available(const pool_name &pool) const;
+    /// Returns whether an instance of another region in one of the allowed data centres can take a call of the pool. Thread safe.
+    bool available(const pool_name &pool, centre_mask allowed = kAllCentres) const;
 
-    /// Returns a random instance of a data centre chosen by weight, or null when no other region can take a call of the pool. Thread safe.
-    const member_row *choose(const pool_name &pool, random_source &random) const;
+    /// Returns a random instance of an allowed data centre chosen by weight, or null when no other region can take a call of the pool. Thread safe.
+    const member_row *choose(const pool_name &pool, random_source &random, centre_mask allowed = kAllCentres) const;
 
 private:
+    unsigned weightFor(const weighted_centre &item, centre_mask allowed) const;
+
     std::vector<reachable_centre> m_centres;
     std::unordered_map<std::uint32_t, std::vector<weighted_centre>> m_centresByPool;
 };
@@ -55,8 +59,10 @@
     /// Stores the summaries of one data centre. A summary whose stamp is not newer than the stored one is ignored.
     void take(const centre_pools &rows, mono_time now);
 
-    /// Returns the data centres outside the region own that have a fresh summary and spare capacity, by pool.
-    std::shared_ptr<const far_capacity> capacity(const configuration &config, const centre_table &centres, const region_id &own, mono_time now);
+    /// Returns the data centres outside the region own that have a fresh summary and spare capacity, by pool. limits numbers
+    /// the data centres; null: all count as allowed.
+    std::shared_ptr<const far_capacity>
+    capacity(const configuration &config, const centre_table &centres, const region_id &own, mono_time now, const placement_limits *limits = nullptr);
 
 private:
     struct row {
--- a/include/sequoiawharf/locality.h
+++ b/include/sequoiawharf/locality.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/settings.h"
 
+#include <memory>
 #include <vector>
 
 namespace sequoiawharf
@@ -17,6 +19,7 @@
     std::vector<data_centre_id> ownRegion {}; ///< Data centres of the own region; empty means that all count as near.
     unsigned fleetSize = 1; ///< Instances that share the fleet's budget of repeats, this one included; a count that is too low exceeds the budget.
     repeat_limits repeats {}; ///< The fleet's budget of repeats; when not set, each pool's retry budget applies.
+    std::shared_ptr<const placement_limits> limits {}; ///< Null: no data centre is evacuated, and no region is known as a home.
 
     friend bool operator==(const locality &, const locality &) = default;
 };
--- a/include/sequoiawharf/member_directory.h
+++ b/include/sequoiawharf/member_directory.h
@@ -34,7 +34,8 @@
 
 /// Returns a random choice of a view's entries: instances of the caller's data centre first, less loaded ones with a higher probability, and at
 /// least one of another data centre of the region if the rules allow it. Instances of other regions are returned only when the caller's region
-/// has none. near: data centre of the caller; empty: the view's own. Thread safe.
-directory_answer chooseEntries(const directory_view &view, const data_centre_id &near, random_source &random);
+/// has none. near: data centre of the caller; empty: the view's own. homes: the only regions, besides the caller's own, of which instances are returned;
+/// empty: all. Thread safe.
+directory_answer chooseEntries(const directory_view &view, const data_centre_id &near, const std::vector<region_id> &homes, random_source &random);
 
 } // namespace sequoiawharf
--- a/include/sequoiawharf/pool_balancer.h
+++ b/include/sequoiawharf/pool_balancer.h
@@ -7,11 +7,13 @@
 #include "sequoiawharf/endpoint_availability.h"
 #include "sequoiawharf/load_report.h"
 #include "sequoiawharf/locality.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/pool_table.h"
 #include "sequoiawharf/probe_choice.h"
 #include "sequoiawharf/random_source.h"
 #include "sequoiawharf/selection_policy.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -89,10 +91,40 @@
 
     /// Returns up to count random endpoints at the distance that are to be probed before a call is sent. Leaves out the excluded, the leaving and the
     /// resting endpoints; returns ejected ones only when there are no others.
+    /// call.centres applies.
+    std::vector<std::uint32_t> probeCandidates(const call_profile &call,
+                                               distance distanceClass,
+                                               std::size_t count,
+                                               std::span<const std::uint32_t> excluded,
+                                               mono_time now,
+                                               random_source &random) const;
+
+    /// As above for a call without homes.
     std::vector<std::uint32_t>
     probeCandidates(distance distanceClass, std::size_t count, std::span<const std::uint32_t> excluded, mono_time now, random_source &random) const;
 
-    /// Returns whether the endpoint may get a request now: it has not said that it is leaving or wants a rest. Precondition: index is below the number of
+    /// Returns the data centres to which the call may be sent now: call.centres without the evacuated ones.
+    centre_mask allowedCentres(const call_profile &call) const;
+
+    /// Returns whether the call may be sent to the endpoint as far as its homes and evacuations decide. Precondition: index is below the number of
+    /// endpoints of definition().
+    bool mayUse(std::uint32_t index, const call_profile &call) const
+    {
+        return (m_centres[index] & allowedCentres(call)) != 0;
+    }
+
+    /// Returns whether homes or evacuations leave the call no endpoint of the pool, called by this instance or not.
+    bool isExcluded(const call_profile &call) const;
+
+    /// Returns whether this instance calls endpoints at the distance that homes and evacuations leave to the call.
+    bool hasEndpointsAt(distance distanceClass, const call_profile &call) const;
+
+    /// Returns call.centres as far as the pool has endpoints there, or all when they exclude none of the pool's endpoints. Two calls of one pool with equal
+    /// results may use the same endpoints.
+    centre_mask servingCentres(const call_profile &call) const;
+
+    /// Returns whether the endpoint may get a request now: it has not said that it is leaving or wants a rest, and its data centre is not
+    /// evacuated. Precondition: index is below the number of
     /// endpoints of definition().
     bool mayTakeRequests(std::uint32_t index, mono_time now) const;
 
@@ -100,8 +132,8 @@
     void recordAvailability(std::uint32_t index, const endpoint_availability &stated, mono_time now) const;
 
     /// Returns when the first endpoint ends its rest, if no endpoint may take a request before; nothing when one may, or when all are leaving. The cost grows
-    /// with the number of endpoints.
-    std::optional<mono_time> firstRestEnd(mono_time now) const;
+    /// with the number of endpoints. Endpoints that the call may not use do not count.
+    std::optional<mono_time> firstRestEnd(mono_time now, const call_profile &call = {}) const;
 
     /// Records the result of a probe. Precondition: index is below the number of endpoints of definition().
     void probeEnded(std::uint32_t index, probe_end end, mono_time now) const;
@@ -165,6 +197,8 @@
     static std::shared_ptr<endpoint_state> stateFor(const endpoint &member, const pool_balancer *previous, mono_time now);
     std::shared_ptr<endpoint_state> findProcess(const endpoint &member) const;
     void keepDeparted(const pool_balancer &previous, mono_time now);
+    centre_mask evacuated() const;
+    std::span<const std::uint32_t> membersFor(centre_mask allowed) const;
     bool isDataCentreUnhealthy(std::uint32_t index, mono_time now) const;
     void countCall(const call_profile &call, mono_time now) const;
     bool drawRepeat(const call_profile &call, mono_time now) const;
@@ -177,6 +211,12 @@
     std::vector<std::shared_ptr<endpoint_state>> m_departed; // endpoints that are not in the table any more, but whose word holds if they come back
     std::vector<std::uint32_t> m_members; // indices of the endpoints that this instance calls, ascending
     std::vector<distance> m_distances; // of all endpoints, by index
+    std::shared_ptr<const placement_limits> m_limits; // null: nothing is evacuated
+    std::vector<centre_mask> m_centres; // of all endpoints, by index
+    std::vector<std::uint32_t> m_reachable; // indices of all endpoints that this instance may call, of which m_members are a subset
+    centre_mask m_allCentres = 0; // with endpoints that are not marked as leaving
+    centre_mask m_memberCentres = 0; // with members that are not marked as leaving
+    std::array<centre_mask, 3> m_centresAt {}; // with endpoints in m_reachable that are not marked as leaving, by distance
     unsigned m_instances;
 };
 
--- a/include/sequoiawharf/route_table.h
+++ b/include/sequoiawharf/route_table.h
@@ -81,6 +81,10 @@
         return m_rows.find(name).get();
     }
 
+    /// Returns the homes of all routes for the host together, those for every host included; empty: at least one route has none, or there is no route. The
+    /// cost grows with the number of routes.
+    std::vector<region_id> homesOf(std::string_view host) const;
+
     /// Returns another route with the same host and path prefix and at least one method in common, or null.
     const route *findOverlap(const route &rule) const;
 
--- a/include/sequoiawharf/routing.h
+++ b/include/sequoiawharf/routing.h
@@ -44,6 +44,10 @@
         return m_keys->find(key);
     }
 
+    /// Returns the data centres whose endpoints may serve a call: those in the homes of both the route and the organisation, which may be null. Thread
+    /// safe.
+    centre_mask centresFor(const route &rule, const organisation *caller) const;
+
     /// Marks the endpoints at the address as leaving in all pools, so that they get no new calls. Thread safe; the cost is linear in the number of
     /// pools.
     void markLeaving(const host_port &address, mono_time now) const;
--- a/src/balance/candidate_sampler.cpp
+++ b/src/balance/candidate_sampler.cpp
@@ -32,6 +32,10 @@
     const auto size = static_cast<std::uint32_t>(m_members.size());
     m_randomFraction = random.unit();
     m_wanted = std::min<std::size_t>({sampling.count, size, selection_policy::kMaxCandidates});
+    if (rules.allowed != kAllCentres) {
+        sampleAll(rules, random);
+        return {m_drawn.data(), m_count};
+    }
     if (sampling.inRotation) {
         scanFrom(turn % size, m_wanted, rules);
         return {m_drawn.data(), m_count};
@@ -51,6 +55,9 @@
 bool candidate_sampler::accepts(std::uint32_t index, const sampling_rules &rules) const
 {
     const auto &state = *m_endpoints[index];
+    if ((m_centres[index] & rules.allowed) == 0) {
+        return false;
+    }
     if (contains(rules.tried, index) || (rules.avoidedDataCentre != nullptr && state.definition().dataCentre == *rules.avoidedDataCentre)) {
         return false;
     }
@@ -71,6 +78,24 @@
     return false;
 }
 
+// Draws with equal chances from all accepted members. The endpoints of a data centre are often neighbours in the pool, so a scan from a random position
+// would prefer the first of them.
+void candidate_sampler::sampleAll(const sampling_rules &rules, random_source &random)
+{
+    std::uint32_t accepted = 0;
+    std::ranges::for_each(m_members, [&](std::uint32_t index) {
+        if (!accepts(index, rules)) {
+            return;
+        }
+        ++accepted;
+        if (m_count < m_wanted) {
+            m_drawn[m_count++] = index;
+        } else if (const auto position = random.below(accepted); position < m_wanted) {
+            m_drawn[position] = index;
+        }
+    });
+}
+
 void candidate_sampler::scanFrom(std::size_t position, std::size_t wanted, const sampling_rules &rules)
 {
     for (std::size_t i = 0; i < m_members.size() && m_count < wanted; ++i) {
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -77,6 +77,8 @@
     , m_policy(std::move(policy))
     , m_state(previous == nullptr ? std::make_shared<pool_state>() : previous->m_state)
     , m_members(chooseMembers(m_definition, place))
+    , m_limits(place.limits)
+    , m_reachable(reachableEndpoints(m_definition, place))
     , m_instances(std::max(1U, place.instances))
 {
     assert(m_policy != nullptr);
@@ -91,6 +93,21 @@
     std::ranges::transform(m_definition.endpoints, std::back_inserter(m_distances), [&](const endpoint &member) {
         return distanceFrom(place, member.dataCentre);
     });
+    std::ranges::transform(m_definition.endpoints, std::back_inserter(m_centres), [&](const endpoint &member) {
+        return m_limits ? m_limits->maskOf(member.dataCentre) : kAllCentres;
+    });
+    const auto centreOf = [&](std::uint32_t index) {
+        return m_definition.endpoints[index].leaving ? centre_mask {0} : m_centres[index];
+    };
+    for (std::uint32_t index = 0; index < m_centres.size(); ++index) {
+        m_allCentres |= centreOf(index);
+    }
+    std::ranges::for_each(m_members, [&](std::uint32_t index) {
+        m_memberCentres |= centreOf(index);
+    });
+    std::ranges::for_each(m_reachable, [&](std::uint32_t index) {
+        m_centresAt[static_cast<std::size_t>(m_distances[index])] |= centreOf(index);
+    });
     m_state->fleetBudget.setLimits(place.repeats, std::max(1U, place.fleetSize));
     m_state->limit.setRange(static_cast<std::uint32_t>(serving) * m_definition.slots, m_instances);
 }
@@ -143,12 +160,47 @@
     }
 }
 
+centre_mask pool_balancer::evacuated() const
+{
+    return m_limits ? m_limits->evacuated() : 0;
+}
+
+centre_mask pool_balancer::allowedCentres(const call_profile &call) const
+{
+    return call.centres & ~evacuated();
+}
+
+bool pool_balancer::isExcluded(const call_profile &call) const
+{
+    const auto allowed = allowedCentres(call);
+    return allowed != kAllCentres && (allowed & m_allCentres) == 0;
+}
+
+bool pool_balancer::hasEndpointsAt(distance distanceClass, const call_profile &call) const
+{
+    return (m_centresAt[static_cast<std::size_t>(distanceClass)] & allowedCentres(call)) != 0;
+}
+
+centre_mask pool_balancer::servingCentres(const call_profile &call) const
+{
+    const auto serving = call.centres & m_allCentres;
+    return serving == m_allCentres ? kAllCentres : serving;
+}
+
+// Returns the endpoints among which a call chooses: the members, or all endpoints that this instance may call when no member is in an allowed data centre.
+std::span<const std::uint32_t> pool_balancer::membersFor(centre_mask allowed) const
+{
+    return allowed == kAllCentres || (m_memberCentres & allowed) != 0 ? m_members : m_reachable;
+}
+
 std::optional<std::uint32_t> pool_balancer::choose(const call_profile &call, std::span<const std::uint32_t> tried, mono_time now, random_source &random) const
 {
     const auto sampling = m_policy->sampling();
     const auto turn = sampling.inRotation ? m_state->rotation.fetch_add(1, kRelaxed) : 0;
-    candidate_sampler sampler(m_endpoints, m_members, now);
+    const auto allowed = allowedCentres(call);
+    candidate_sampler sampler(m_endpoints, m_centres, membersFor(allowed), now);
     sampling_rules rules {.tried = tried,
+                          .allowed = allowed,
                           .mayRunTwice = call.idempotent && call.replayable,
                           .acceptRamping = m_state->isMostlyRamping.load(kRelaxed),
                           .acceptEjected = m_state->panic.load(kRelaxed)};
@@ -178,11 +230,18 @@
 std::vector<std::uint32_t>
 pool_balancer::probeCandidates(distance distanceClass, std::size_t count, std::span<const std::uint32_t> excluded, mono_time now, random_source &random) const
 {
+    return probeCandidates({}, distanceClass, count, excluded, now, random);
+}
+
+std::vector<std::uint32_t> pool_balancer::probeCandidates(
+    const call_profile &call, distance distanceClass, std::size_t count, std::span<const std::uint32_t> excluded, mono_time now, random_source &random) const
+{
+    const auto allowed = allowedCentres(call);
     std::vector<std::uint32_t> fit;
     std::vector<std::uint32_t> returning; // from a rest; left out of this choice unless there are no others
     std::vector<std::uint32_t> ejected;
-    std::ranges::for_each(m_members, [&](std::uint32_t index) {
-        if (m_distances[index] != distanceClass || std::ranges::find(excluded, index) != excluded.end()) {
+    std::ranges::for_each(membersFor(allowed), [&](std::uint32_t index) {
+        if (m_distances[index] != distanceClass || (m_centres[index] & allowed) == 0 || std::ranges::find(excluded, index) != excluded.end()) {
             return;
         }
         switch (fitnessOf(*m_endpoints[index], now)) {
@@ -210,7 +269,7 @@
 
 bool pool_balancer::mayTakeRequests(std::uint32_t index, mono_time now) const
 {
-    return sequoiawharf::mayTakeRequests(*m_endpoints[index], now);
+    return (m_centres[index] & evacuated()) == 0 && sequoiawharf::mayTakeRequests(*m_endpoints[index], now);
 }
 
 void pool_balancer::recordAvailability(std::uint32_t index, const endpoint_availability &stated, mono_time now) const
@@ -218,10 +277,14 @@
     sequoiawharf::recordAvailability(*m_endpoints[index], stated, now);
 }
 
-std::optional<mono_time> pool_balancer::firstRestEnd(mono_time now) const
+std::optional<mono_time> pool_balancer::firstRestEnd(mono_time now, const call_profile &call) const
 {
+    const auto allowed = allowedCentres(call);
     std::optional<std::int64_t> firstNs;
-    const bool mayNoneServe = std::ranges::none_of(m_members, [&](std::uint32_t index) {
+    const bool mayNoneServe = std::ranges::none_of(membersFor(allowed), [&](std::uint32_t index) {
+        if ((m_centres[index] & allowed) == 0) {
+            return false;
+        }
         const auto fit = fitnessOf(*m_endpoints[index], now);
         if (fit == fitness::Resting) {
             const auto endNs = m_endpoints[index]->restUntilNs.load(kRelaxed);
--- a/src/balance/subset.cpp
+++ b/src/balance/subset.cpp
@@ -22,12 +22,18 @@
 
 } // namespace
 
-std::vector<std::uint32_t> chooseMembers(const pool &definition, const locality &place)
+std::vector<std::uint32_t> reachableEndpoints(const pool &definition, const locality &place)
 {
-    std::vector<std::uint32_t> members;
-    std::ranges::copy_if(std::views::iota(0U, static_cast<std::uint32_t>(definition.endpoints.size())), std::back_inserter(members), [&](std::uint32_t i) {
+    std::vector<std::uint32_t> indices;
+    std::ranges::copy_if(std::views::iota(0U, static_cast<std::uint32_t>(definition.endpoints.size())), std::back_inserter(indices), [&](std::uint32_t i) {
         return isLocal(definition.endpoints[i], place);
     });
+    return indices;
+}
+
+std::vector<std::uint32_t> chooseMembers(const pool &definition, const locality &place)
+{
+    auto members = reachableEndpoints(definition, place);
     const auto instances = std::max(1U, place.instances);
     const auto size = std::max(kMinSubset, (members.size() * kInstancesPerEndpoint + instances - 1) / instances);
     if (size >= members.size()) {
--- a/src/call/call_queue.cpp
+++ b/src/call/call_queue.cpp
@@ -35,10 +35,10 @@
     return last;
 }
 
-std::optional<waiting_call> call_queue::pop(mono_time now, std::chrono::nanoseconds minTime)
+std::optional<waiting_call> call_queue::pop(mono_time now, std::chrono::nanoseconds minTime, const std::function<bool(const waiting_call &)> &mayTake)
 {
     const auto first = std::ranges::find_if(m_calls, [&](const waiting_call &call) {
-        return now + minTime < call.profile.deadline;
+        return now + minTime < call.profile.deadline && (!mayTake || mayTake(call));
     });
     if (first == m_calls.end()) {
         return std::nullopt;
@@ -60,7 +60,11 @@
 
 bool call_queue::isFirst(const call_profile &call) const
 {
-    return m_calls.empty() || std::pair(call.priority, call.deadline) <= orderOf(m_calls.front());
+    const auto order = std::pair(call.priority, call.deadline);
+    const auto end = std::ranges::lower_bound(m_calls, order, {}, orderOf);
+    return std::none_of(m_calls.begin(), end, [&](const waiting_call &earlier) {
+        return (call.centres & ~earlier.profile.centres) == 0;
+    });
 }
 
 bool call_queue::remove(std::uint64_t token)
--- a/src/call/routing.cpp
+++ b/src/call/routing.cpp
@@ -33,6 +33,17 @@
     });
 }
 
+centre_mask routing::centresFor(const route &rule, const organisation *caller) const
+{
+    const auto maskOf = [this](const std::vector<region_id> &homes) {
+        if (homes.empty()) {
+            return kAllCentres;
+        }
+        return m_place.limits ? m_place.limits->maskOf(homes) : centre_mask {0};
+    };
+    return maskOf(rule.homes) & (caller == nullptr ? kAllCentres : maskOf(caller->homes));
+}
+
 void routing::markLeaving(const host_port &address, mono_time now) const
 {
     std::ranges::for_each(m_balancers, [&](const auto &entry) {
--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -106,6 +106,24 @@
     return nullptr;
 }
 
+std::vector<region_id> route_table::homesOf(std::string_view host) const
+{
+    std::vector<region_id> homes;
+    for (const auto *rule : m_byPrefix) {
+        if (!rule->host.empty() && rule->host != host) {
+            continue;
+        }
+        if (rule->homes.empty()) {
+            return {};
+        }
+        homes.insert(homes.end(), rule->homes.begin(), rule->homes.end());
+    }
+    std::ranges::sort(homes);
+    const auto duplicates = std::ranges::unique(homes);
+    homes.erase(duplicates.begin(), duplicates.end());
+    return homes;
+}
+
 const route *route_table::findOverlap(const route &rule) const
 {
     const auto candidates = std::ranges::equal_range(m_byPrefix, prefixOf(&rule), {}, prefixOf);
--- a/src/membership/member_directory.cpp
+++ b/src/membership/member_directory.cpp
@@ -83,7 +83,7 @@
     return view;
 }
 
-directory_answer chooseEntries(const directory_view &view, const data_centre_id &near, random_source &random)
+directory_answer chooseEntries(const directory_view &view, const data_centre_id &near, const std::vector<region_id> &homes, random_source &random)
 {
     const auto &centre = near.empty() ? view.ownCentre : near;
     const auto home = std::ranges::find(view.entries, centre, &member_row::dataCentre);
@@ -92,6 +92,9 @@
     std::vector<const member_row *> inRegion;
     std::vector<const member_row *> elsewhere;
     std::ranges::for_each(view.entries, [&](const member_row &row) {
+        if (row.region != region && !homes.empty() && std::ranges::find(homes, row.region) == homes.end()) {
+            return;
+        }
         auto &group = row.dataCentre == centre ? inCentre : (row.region == region ? inRegion : elsewhere);
         group.push_back(&row);
     });
--- a/src/region/far_capacity.cpp
+++ b/src/region/far_capacity.cpp
@@ -24,25 +24,37 @@
 {
 }
 
-bool far_capacity::available(const pool_name &pool) const
+bool far_capacity::available(const pool_name &pool, centre_mask allowed) const
 {
-    return m_centresByPool.contains(poolKey(pool));
+    const auto found = m_centresByPool.find(poolKey(pool));
+    return found != m_centresByPool.end() && std::ranges::any_of(found->second, [&](const weighted_centre &item) {
+               return weightFor(item, allowed) > 0;
+           });
+}
+
+unsigned far_capacity::weightFor(const weighted_centre &item, centre_mask allowed) const
+{
+    return (m_centres[item.centre].centre & allowed) != 0 ? item.weight : 0;
 }
 
-const member_row *far_capacity::choose(const pool_name &pool, random_source &random) const
+const member_row *far_capacity::choose(const pool_name &pool, random_source &random, centre_mask allowed) const
 {
     const auto found = m_centresByPool.find(poolKey(pool));
     if (found == m_centresByPool.end()) {
         return nullptr;
     }
     const auto &centresByPool = found->second;
-    const auto total = std::accumulate(centresByPool.begin(), centresByPool.end(), 0U, [](unsigned sum, const weighted_centre &item) {
-        return sum + item.weight;
+    const auto total = std::accumulate(centresByPool.begin(), centresByPool.end(), 0U, [&](unsigned sum, const weighted_centre &item) {
+        return sum + weightFor(item, allowed);
     });
+    if (total == 0) {
+        return nullptr;
+    }
     auto remaining = random.below(total);
     const auto chosen = std::ranges::find_if(centresByPool, [&](const weighted_centre &item) {
-        const bool isChosen = remaining < item.weight;
-        remaining -= isChosen ? 0 : item.weight;
+        const auto weight = weightFor(item, allowed);
+        const bool isChosen = remaining < weight;
+        remaining -= isChosen ? 0 : weight;
         return isChosen;
     });
     const auto &entries = m_centres[chosen->centre].entries;
@@ -96,7 +108,8 @@
     });
 }
 
-std::shared_ptr<const far_capacity> far_pools::capacity(const configuration &config, const centre_table &centres, const region_id &own, mono_time now)
+std::shared_ptr<const far_capacity>
+far_pools::capacity(const configuration &config, const centre_table &centres, const region_id &own, mono_time now, const placement_limits *limits)
 {
     std::vector<far_capacity::reachable_centre> reachable;
     std::map<data_centre_id, std::size_t> indices;
@@ -104,7 +117,7 @@
         const auto &summary = entry.summary;
         if (summary.region != own && !summary.entries.empty() && centre_table::isFresh(entry, now)) {
             indices.emplace(summary.dataCentre, reachable.size());
-            reachable.push_back({summary.region, summary.entries});
+            reachable.push_back({summary.region, summary.entries, limits == nullptr ? kAllCentres : limits->maskOf(summary.dataCentre)});
         }
     });
     std::unordered_map<std::uint32_t, std::vector<far_capacity::weighted_centre>> centresByPool;
--- a/src/region/relay_target.h
+++ b/src/region/relay_target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/random_source.h"
 #include "sequoiawharf/time.h"
 
@@ -27,10 +28,10 @@
     virtual ~relay_chooser() = default;
 
     /// Returns whether choose() would return an instance.
-    virtual bool available(const pool_name &pool, mono_time now) const = 0;
+    virtual bool available(const pool_name &pool, mono_time now, centre_mask allowed) const = 0;
 
-    /// Returns an instance whose data centre has spare capacity for a call of the pool, or nothing.
-    virtual std::optional<relay_target> choose(const pool_name &pool, mono_time now, random_source &random) const = 0;
+    /// Returns an instance whose data centre is allowed and has spare capacity for a call of the pool, or nothing.
+    virtual std::optional<relay_target> choose(const pool_name &pool, mono_time now, random_source &random, centre_mask allowed) const = 0;
 };
 
 } // namespace sequoiawharf
--- a/src/shell/call_stream.h
+++ b/src/shell/call_stream.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/call_ending.h"
 #include "sequoiawharf/ids.h"
+#include "sequoiawharf/placement_limits.h"
 #include "sequoiawharf/time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -127,13 +128,13 @@
 public:
     virtual ~relay_client() = default;
 
-    /// Returns whether an instance of another region can accept a call of the pool now. Thread safe.
-    virtual bool canRelay(const pool_name &pool, mono_time now) const = 0;
+    /// Returns whether an instance of another region, in one of the allowed data centres, can accept a call of the pool now. Thread safe.
+    virtual bool canRelay(const pool_name &pool, mono_time now, centre_mask allowed) const = 0;
 
-    /// Sends the call and streams its answer to the sink. Replaces the action of answer.onReceiverGone(), to be notified when the caller closes its
-    /// connection. Runs on the calling thread.
+    /// Sends the call to an instance in one of the allowed data centres and streams its answer to the sink. Replaces the action of answer.onReceiverGone(), to
+    /// be notified when the caller closes its connection. Runs on the calling thread.
     virtual boost::asio::awaitable<relay_outcome>
-    relay(const pool_name &pool, const call_head &head, mono_time deadline, body_source &body, answer_sink &answer) = 0;
+    relay(const pool_name &pool, const call_head &head, mono_time deadline, centre_mask allowed, body_source &body, answer_sink &answer) = 0;
 };
 
 } // namespace sequoiawharf
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -81,7 +81,7 @@
     if (step.reason == call_reason::NoTarget && m_hasNoSlotInTime && isBoundByStop()) {
         return stopRefusal();
     }
-    const auto restEnd = m_balancer->firstRestEnd(now);
+    const auto restEnd = m_balancer->firstRestEnd(now, m_profile);
     auto reason = step.reason;
     if (reason == call_reason::NoTarget && restEnd) {
         reason = call_reason::TargetsResting;
@@ -139,14 +139,18 @@
     m_watch->start();
     auto queueProfile = m_profile; // queued by the latency objective instead of the deadline, as long as the objective can be met
     queueProfile.deadline = timing().objectiveAt;
+    queueProfile.centres = m_balancer->servingCentres(m_profile);
     while (m_watch->isRunning()) {
+        if (m_balancer->isExcluded(m_profile)) {
+            co_return std::nullopt; // no endpoint may become free for the call
+        }
         // A slot that becomes free goes to the first call in the queue, so the calls behind it do not probe.
         std::optional<chosen_endpoint> best;
         if (m_engine.slotQueue().isFirst(m_balancer, queueProfile)) {
             best = co_await probeEndpoints(m_probeRound);
         }
         // Endpoints that rest are not probed, and a call that waits for them would only be late.
-        if (!best && m_balancer->firstRestEnd(monoNow())) {
+        if (!best && m_balancer->firstRestEnd(monoNow(), m_profile)) {
             co_return std::nullopt;
         }
         const auto callPlacement = placeCall(best ? std::optional(best->endpoint) : std::nullopt, timing());
@@ -220,6 +224,9 @@
         if (!round.probed().empty() && isEnough) {
             continue;
         }
+        if (m_balancer->allowedCentres(m_profile) != kAllCentres && !m_balancer->hasEndpointsAt(stage.distanceClass, m_profile)) {
+            continue;
+        }
         std::vector<std::uint32_t> excluded(m_record.tried().begin(), m_record.tried().end());
         std::ranges::copy(round.probed(), std::back_inserter(excluded));
         const auto now = monoNow();
@@ -229,7 +236,7 @@
         if (count == 0) {
             continue;
         }
-        round.start(m_balancer->probeCandidates(stage.distanceClass, count, excluded, now, m_engine.random()), now);
+        round.start(m_balancer->probeCandidates(m_profile, stage.distanceClass, count, excluded, now, m_engine.random()), now);
         co_await round.wait(stage.waitIfHealthy, stage.maxWait);
     }
     if (!selectProbedEndpoint(round.answers(), isLarge)) {
@@ -446,7 +453,8 @@
 bool call_run::canRelay() const
 {
     const auto *const client = m_engine.relay();
-    return client != nullptr && !isProbing() && !m_head.relayed && m_body->isReplayable() && client->canRelay(m_route->pool, monoNow());
+    return client != nullptr && !isProbing() && !m_head.relayed && m_body->isReplayable()
+           && client->canRelay(m_balancer->definition().name, monoNow(), m_balancer->allowedCentres(m_profile));
 }
 
 // Sends the call through an instance of another region. Returns the next step, or nothing when the call has ended.
@@ -465,7 +473,8 @@
             recorder.cancelSender();
         }
     });
-    const auto outcome = co_await m_engine.relay()->relay(m_route->pool, m_head, m_profile.deadline, *m_body, recorder);
+    const auto outcome
+        = co_await m_engine.relay()->relay(m_balancer->definition().name, m_head, m_profile.deadline, m_balancer->allowedCentres(m_profile), *m_body, recorder);
     if (outcome.result == relay_outcome::kind::Delivered || recorder.isStarted()) {
         if (!recorder.isFinished()) {
             m_answer.abort();
--- a/src/shell/gateway/call_run.cpp
+++ b/src/shell/gateway/call_run.cpp
@@ -150,6 +150,10 @@
     if (!m_balancer) {
         return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NoTarget);
     }
+    m_profile.centres = m_routing->centresFor(*m_route, m_organisation);
+    if (m_balancer->isExcluded(m_profile)) {
+        return makeRefusal(m_engine.dialect(), call_ending::NotRun, call_reason::NoTarget);
+    }
     m_balancer->callStarted(m_head.received);
     m_arrived = m_head.received;
     const auto bound = std::min(m_route->deadline, m_engine.shared().settings.limits.maxDeadline);
--- a/src/shell/gateway/caller_session.cpp
+++ b/src/shell/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "src/shell/gateway/caller_session.h"
 
 #include "sequoiawharf/directory.h"
+#include "sequoiawharf/routing.h"
 #include "src/shell/gateway/call_dialect.h"
 #include "src/shell/gateway/call_engine.h"
 #include "src/shell/gateway/directory_page.h"
@@ -146,7 +147,7 @@
         answer.watch();
     });
     if (isDirectoryRequest(head.path)) {
-        co_await answerDirectory(head.path, answer);
+        co_await answerDirectory(head, answer);
     } else {
         co_await m_engine.handle(std::move(head), body, answer);
     }
@@ -176,9 +177,10 @@
     return head;
 }
 
-asio::awaitable<void> caller_session::answerDirectory(std::string_view target, caller_answer &answer)
+asio::awaitable<void> caller_session::answerDirectory(const call_head &request, caller_answer &answer)
 {
-    const auto found = m_engine.shared().entries.lookup(parseNear(target), monoNow(), m_engine.random());
+    const auto homes = m_engine.shared().routings.load()->config().routes.homesOf(request.host);
+    const auto found = m_engine.shared().entries.lookup(parseNear(request.path), homes, monoNow(), m_engine.random());
     const auto page = formatDirectory(found);
     answer_head head;
     head.status = found.entries.empty() ? 503 : 200;
--- a/src/shell/gateway/caller_session.h
+++ b/src/shell/gateway/caller_session.h
@@ -28,7 +28,7 @@
 private:
     message_awaitable<std::size_t> readHead(request_parser &parser);
     boost::asio::awaitable<bool> serve(request_parser &parser);
-    boost::asio::awaitable<void> answerDirectory(std::string_view target, caller_answer &answer);
+    boost::asio::awaitable<void> answerDirectory(const call_head &request, caller_answer &answer);
     boost::asio::awaitable<void> refuseRequest(const message_fault &fault);
     boost::asio::awaitable<void> closeGracefully();
     call_head makeHead(const request_parser &parser);
--- a/src/shell/gateway/slot_queue.cpp
+++ b/src/shell/gateway/slot_queue.cpp
@@ -101,13 +101,17 @@
     if (poolQueue.queue.empty() || !isUncongested(freed)) {
         return;
     }
-    const auto first = poolQueue.queue.pop(now, std::chrono::nanoseconds::zero());
+    // The waiting call may have started under another configuration, in which the endpoint has another index or does not exist.
+    const auto &address = pool->at(freed.index).definition().address;
+    const auto first = poolQueue.queue.pop(now, std::chrono::nanoseconds::zero(), [&](const waiting_call &call) {
+        const auto &waitedFor = *poolQueue.waiters.find(call.token)->second->pool;
+        const auto index = waitedFor.find(address);
+        return !index || waitedFor.mayUse(*index, call.profile);
+    });
     if (!first) {
         return;
     }
     auto &next = *poolQueue.waiters.find(first->token)->second;
-    // The waiting call may have started under another configuration, in which the endpoint has another index or does not exist.
-    const auto &address = pool->at(freed.index).definition().address;
     const auto index = next.pool->find(address);
     if (index) {
         next.result.slot.emplace(chosen_endpoint {freed, m_connections.acquireIdleForProbe(address)});
--- a/src/shell/gateway/slot_queue.h
+++ b/src/shell/gateway/slot_queue.h
@@ -47,7 +47,8 @@
     /// dropped at once or the watch has ended it already; a caller that waited again then would keep the thread from other work.
     boost::asio::awaitable<slot_wait_result> wait(balancer_ptr pool, call_profile call, mono_time until, call_watch &watch);
 
-    /// Records that a call ended at the endpoint, and gives its slot to the first waiting call if the endpoint is neither slow nor nearly full.
+    /// Records that a call ended at the endpoint, and gives its slot to the first waiting call that may use the endpoint, if that is neither slow nor nearly
+    /// full.
     void slotFreed(const balancer_ptr &pool, const probed_endpoint &freed, mono_time now);
 
     /// Removes the queues of pools with neither waiting calls nor recently freed slots. Called periodically.
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -68,6 +68,7 @@
     , m_settings(settings)
     , m_events(events)
     , m_policy(makeSelectionPolicy(settings.policy))
+    , m_limits(std::make_shared<placement_limits>(settings.regions))
     , m_routings(std::make_shared<const routing>())
     , m_routing(std::make_shared<const routing>())
     , m_list(outside.makeInstanceList(settings))
@@ -78,6 +79,7 @@
               .seed = seedOf(settings),
               .configuration = this,
               .events = &events,
+              .limits = m_limits,
               .markLeaving =
                   [this](const leaving_notice &notice) {
                       applyLeavingNotice(notice);
@@ -287,6 +289,7 @@
     result.instances = std::max(1U, isProbing ? m_listed : m_node.members().liveInRegion(now));
     result.fleetSize = m_listed > 0 ? m_listed : kAssumedFleetSize;
     result.repeats = m_settings.repeats;
+    result.limits = m_limits;
     return result;
 }
 
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -69,6 +69,11 @@
     {
         return *m_feed;
     }
+    /// Returns the homes of all routes for the host; see route_table.
+    std::vector<region_id> homesOf(std::string_view host) const
+    {
+        return m_config->routes.homesOf(host);
+    }
     /// Returns the page that answers another instance's request for the changes of endpoints since an offset; empty when the pool table names the
     /// endpoints.
     std::string endpointPage(log_offset from, mono_time now)
@@ -119,6 +124,7 @@
     event_sink &m_events;
     std::function<void()> m_onReadinessInput = [] { };
     std::shared_ptr<const selection_policy> m_policy;
+    std::shared_ptr<placement_limits> m_limits; ///< Never null.
     rcu_snapshot<routing> m_routings;
     std::shared_ptr<const routing> m_routing; ///< The newest published one.
     std::unique_ptr<instance_list_client> m_list;
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -181,8 +181,9 @@
 // Serves the directory and the readiness page at their own addresses, if the settings name any.
 tl::expected<void, std::string> instance::implementation::startPublicPages()
 {
-    m_outside.addDirectoryPage(m_directoryPages, [this](const data_centre_id &near) {
-        return m_plane.node().publishedDirectory().lookup(near, monoNow(), m_lookupRandom);
+    m_outside.addDirectoryPage(m_directoryPages, [this](const data_centre_id &near, std::string_view host) {
+        const auto homes = host.empty() ? std::vector<region_id> {} : m_plane.homesOf(host);
+        return m_plane.node().publishedDirectory().lookup(near, homes, monoNow(), m_lookupRandom);
     });
     m_outside.addReadyPage(m_readyPages, [this] {
         return m_readiness.ready && m_stop.phase() == stop_phase::Serving;
--- a/src/shell/instance/own_surroundings.cpp
+++ b/src/shell/instance/own_surroundings.cpp
@@ -53,7 +53,9 @@
 {
     pages.add(std::string(kDirectoryPath), [lookup = std::move(lookup)](const page_request &request) -> boost::asio::awaitable<page_answer> {
         const auto near = request.query.find("near");
-        const auto found = lookup(data_centre_id(near == request.query.end() ? std::string {} : near->second));
+        const auto host = request.query.find("host");
+        const auto found = lookup(data_centre_id(near == request.query.end() ? std::string {} : near->second),
+                                  host == request.query.end() ? std::string_view {} : std::string_view(host->second));
         co_return page_answer {found.entries.empty() ? kUnavailable : kOk, "application/json", formatDirectory(found)};
     });
 }
--- a/src/shell/instance/surroundings.h
+++ b/src/shell/instance/surroundings.h
@@ -12,12 +12,13 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace sequoiawharf
 {
 
-/// Looks up instances in the directory. near: the caller's data centre, or empty.
-using directory_lookup = std::function<directory_answer(const data_centre_id &near)>;
+/// Looks up instances in the directory. near: the caller's data centre, or empty. host: of the caller's calls, whose homes limit the answer, or empty.
+using directory_lookup = std::function<directory_answer(const data_centre_id &near, std::string_view host)>;
 
 /// Interface to an instance's environment: the protocols of callers, targets, operators and the platform. One object per deployment; it outlives
 /// the instance.
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -216,7 +216,7 @@
     if (now >= m_linkDue) {
         m_linkDue = now + kLinkUpdateInterval;
         updateLink();
-        m_capacity.publish(m_farPools.capacity(*m_parts.configuration->current(), m_members.centres(), m_members.self().region, now));
+        m_capacity.publish(m_farPools.capacity(*m_parts.configuration->current(), m_members.centres(), m_members.self().region, now, m_parts.limits.get()));
         m_client.closeIdle(now);
     }
 }
--- a/src/shell/peer/peer_relay.cpp
+++ b/src/shell/peer/peer_relay.cpp
@@ -171,14 +171,15 @@
     });
 }
 
-bool peer_relay::canRelay(const pool_name &pool, mono_time now) const
+bool peer_relay::canRelay(const pool_name &pool, mono_time now, centre_mask allowed) const
 {
-    return m_parts.chooser->available(pool, now);
+    return m_parts.chooser->available(pool, now, allowed);
 }
 
-asio::awaitable<relay_outcome> peer_relay::relay(const pool_name &pool, const call_head &head, mono_time deadline, body_source &body, answer_sink &answer)
+asio::awaitable<relay_outcome>
+peer_relay::relay(const pool_name &pool, const call_head &head, mono_time deadline, centre_mask allowed, body_source &body, answer_sink &answer)
 {
-    const auto target = m_parts.chooser->choose(pool, clock::now(), m_random);
+    const auto target = m_parts.chooser->choose(pool, clock::now(), m_random, allowed);
     if (!target || head.relayed) {
         co_return relay_outcome {kind::NotSent};
     }
--- a/src/shell/peer/peer_relay.h
+++ b/src/shell/peer/peer_relay.h
@@ -36,9 +36,9 @@
     peer_relay(const peer_relay &) = delete;
     peer_relay &operator=(const peer_relay &) = delete;
 
-    bool canRelay(const pool_name &pool, mono_time now) const override;
+    bool canRelay(const pool_name &pool, mono_time now, centre_mask allowed) const override;
     boost::asio::awaitable<relay_outcome>
-    relay(const pool_name &pool, const call_head &head, mono_time deadline, body_source &body, answer_sink &answer) override;
+    relay(const pool_name &pool, const call_head &head, mono_time deadline, centre_mask allowed, body_source &body, answer_sink &answer) override;
 
     /// Closes connections that have been idle for two minutes, once their calls have ended.
     void closeIdle(mono_time now);
--- a/src/shell/peer/published_views.h
+++ b/src/shell/peer/published_views.h
@@ -19,7 +19,7 @@
     /// Replaces the snapshot. Blocks for an RCU grace period.
     void publish(std::shared_ptr<const directory_view> view);
 
-    directory_answer lookup(const data_centre_id &near, mono_time now, random_source &random) const override;
+    directory_answer lookup(const data_centre_id &near, const std::vector<region_id> &homes, mono_time now, random_source &random) const override;
 
 private:
     rcu_snapshot<directory_view> m_view;
@@ -35,8 +35,8 @@
     /// Replaces the snapshot. Blocks for an RCU grace period.
     void publish(std::shared_ptr<const far_capacity> capacity);
 
-    bool available(const pool_name &pool, mono_time now) const override;
-    std::optional<relay_target> choose(const pool_name &pool, mono_time now, random_source &random) const override;
+    bool available(const pool_name &pool, mono_time now, centre_mask allowed) const override;
+    std::optional<relay_target> choose(const pool_name &pool, mono_time now, random_source &random, centre_mask allowed) const override;
 
 private:
     rcu_snapshot<far_capacity> m_capacity;
--- a/tests/config/route_table_test.cpp
+++ b/tests/config/route_table_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(findsLongestPrefix);
     CPPUNIT_TEST(findsRouteOfAnyDepth);
     CPPUNIT_TEST(decidesIdempotence);
+    CPPUNIT_TEST(homesOfAHostAreThoseOfAllItsRoutes);
     CPPUNIT_TEST(validationListsEveryFault);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,23 @@
         CPPUNIT_ASSERT(isIdempotent(rule, "POST"));
     }
 
+    // Guards against a directory that leaves out instances which a route of the host needs.
+    void homesOfAHostAreThoseOfAllItsRoutes()
+    {
+        auto first = makeRoute("first", "/a");
+        first.host = "h";
+        first.homes = {region_id("south"), region_id("north")};
+        auto second = makeRoute("second", "/b");
+        second.host = "h";
+        second.homes = {region_id("west"), region_id("north")};
+        auto free = makeRoute("free", "/a");
+        free.host = "k";
+        CPPUNIT_ASSERT((route_table({first, second, free}).homesOf("h") == std::vector {region_id("north"), region_id("south"), region_id("west")}));
+        CPPUNIT_ASSERT(route_table({first, second, free}).homesOf("k").empty());
+        CPPUNIT_ASSERT_MESSAGE("a route for every host has no homes", route_table({first, second, makeRoute("all", "/")}).homesOf("h").empty());
+        CPPUNIT_ASSERT(route_table().homesOf("h").empty());
+    }
+
     void validationListsEveryFault()
     {
         pool duplicate;
--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -63,7 +63,8 @@
 
 } // namespace
 
-directory_answer fake_directory::lookup(const data_centre_id &near, mono_time /*now*/, random_source & /*random*/) const
+directory_answer
+fake_directory::lookup(const data_centre_id &near, const std::vector<region_id> & /*homes*/, mono_time /*now*/, random_source & /*random*/) const
 {
     const auto centre = near.empty() ? data_centre_id("a") : near;
     return {{{instance_id("n1"), {"127.10.0.1", 8080}, centre, region_id("north")}}, milliseconds(5000)};
@@ -177,14 +178,17 @@
     };
     std::ranges::for_each(routes, [this](route &rule) {
         rule.isPublic = hasPublicRoutes;
+        rule.homes = homes;
     });
     config->routes = route_table(std::move(routes));
     config->organisations = organisations;
     config->pools = pool_table({targetPool});
     const std::shared_ptr<const selection_policy> policy = makeSelectionPolicy("two-choices");
     CPPUNIT_ASSERT(policy != nullptr);
-    m_routing.store(
-        std::make_shared<const routing>(config, locality {settings.id, settings.dataCentre, {}, 1}, policy, routing {}, std::chrono::steady_clock::now()));
+    limits = std::make_shared<placement_limits>(settings.regions);
+    locality place {settings.id, settings.dataCentre, {}, 1};
+    place.limits = limits;
+    m_routing.store(std::make_shared<const routing>(config, place, policy, routing {}, std::chrono::steady_clock::now()));
     m_gateway = std::make_unique<gateway>(settings, m_routing, m_directory, m_relays, m_events, m_metrics);
     const auto started = m_gateway->start();
     CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error(), started.has_value());
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -26,7 +26,7 @@
 class fake_directory : public directory
 {
 public:
-    directory_answer lookup(const data_centre_id &near, mono_time now, random_source &random) const override;
+    directory_answer lookup(const data_centre_id &near, const std::vector<region_id> &homes, mono_time now, random_source &random) const override;
 };
 
 /// Discards all events.
@@ -126,6 +126,8 @@
     pool targetPool;
     organisation_table organisations;
     bool hasPublicRoutes = false; ///< All routes are public.
+    std::vector<region_id> homes; ///< Of all routes.
+    std::shared_ptr<placement_limits> limits; ///< Of the gateway, for settings.regions.
 
 private:
     std::vector<relay_client *> m_relays;
--- a/tests/gateway/lifecycle_test.cpp
+++ b/tests/gateway/lifecycle_test.cpp
@@ -18,12 +18,16 @@
 class fake_relay : public relay_client
 {
 public:
-    bool canRelay(const pool_name & /*pool*/, mono_time /*now*/) const override
+    bool canRelay(const pool_name & /*pool*/, mono_time /*now*/, centre_mask /*allowed*/) const override
     {
         return true;
     }
-    boost::asio::awaitable<relay_outcome>
-    relay(const pool_name & /*pool*/, const call_head & /*head*/, mono_time /*deadline*/, body_source &body, answer_sink &answer) override
+    boost::asio::awaitable<relay_outcome> relay(const pool_name & /*pool*/,
+                                                const call_head & /*head*/,
+                                                mono_time /*deadline*/,
+                                                centre_mask /*allowed*/,
+                                                body_source &body,
+                                                answer_sink &answer) override
     {
         relays += 1;
         if (result != relay_outcome::kind::Delivered) {
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -29,12 +29,16 @@
 class silent_relay : public relay_client
 {
 public:
-    bool canRelay(const pool_name & /*pool*/, mono_time /*now*/) const override
+    bool canRelay(const pool_name & /*pool*/, mono_time /*now*/, centre_mask /*allowed*/) const override
     {
         return true;
     }
-    boost::asio::awaitable<relay_outcome>
-    relay(const pool_name & /*pool*/, const call_head & /*head*/, mono_time deadline, body_source & /*body*/, answer_sink &answer) override
+    boost::asio::awaitable<relay_outcome> relay(const pool_name & /*pool*/,
+                                                const call_head & /*head*/,
+                                                mono_time deadline,
+                                                centre_mask /*allowed*/,
+                                                body_source & /*body*/,
+                                                answer_sink &answer) override
     {
         boost::asio::steady_timer ended(co_await boost::asio::this_coro::executor, deadline);
         answer.onReceiverGone([&ended] {
--- a/tests/membership/parts_test.cpp
+++ b/tests/membership/parts_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(lastArrivalCountsFromTheEarliestTimeOfTheRequest);
     CPPUNIT_TEST(nearEntriesComeFirst);
     CPPUNIT_TEST(loadedEntriesAreChosenLessOften);
+    CPPUNIT_TEST(entriesAreInHomesOrNearTheCaller);
     CPPUNIT_TEST(budgetBoundsAnyWindow);
     CPPUNIT_TEST(additionalBytesAreAdmittedOnce);
     CPPUNIT_TEST(followerAsksNearestFirst);
@@ -142,19 +143,33 @@
     void nearEntriesComeFirst()
     {
         directory_view view {data_centre_id("a"), region_id("north"), {}, 10s};
-        CPPUNIT_ASSERT(chooseEntries(view, {}, m_random).entries.empty());
+        CPPUNIT_ASSERT(chooseEntries(view, {}, {}, m_random).entries.empty());
         view.entries = {entry("f", "c", "south", 0)};
-        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, chooseEntries(view, {}, m_random).entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, chooseEntries(view, {}, {}, m_random).entries.size());
         for (int i = 0; i < 6; ++i) {
             view.entries.push_back(entry("a" + std::to_string(i), "a", "north", 0));
             view.entries.push_back(entry("b" + std::to_string(i), "b", "north", 0));
         }
-        const auto own = chooseEntries(view, {}, m_random);
+        const auto own = chooseEntries(view, {}, {}, m_random);
         CPPUNIT_ASSERT_EQUAL(std::size_t {4}, own.entries.size());
         CPPUNIT_ASSERT(own.lifetime == 10s && own.entries[0].dataCentre.str() == "a" && own.entries[3].dataCentre.str() == "b");
-        const auto other = chooseEntries(view, data_centre_id("b"), m_random);
+        const auto other = chooseEntries(view, data_centre_id("b"), {}, m_random);
         CPPUNIT_ASSERT(other.entries[0].dataCentre.str() == "b" && other.entries[3].dataCentre.str() == "a");
-        CPPUNIT_ASSERT_EQUAL(std::string("c"), chooseEntries(view, data_centre_id("c"), m_random).entries[0].dataCentre.str());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), chooseEntries(view, data_centre_id("c"), {}, m_random).entries[0].dataCentre.str());
+    }
+
+    // Guards against a caller that sends a body to an instance of a third region.
+    void entriesAreInHomesOrNearTheCaller()
+    {
+        directory_view view {data_centre_id("a"), region_id("north"), {entry("s", "c", "south", 0), entry("w", "e", "west", 0)}, 10s};
+        for (int i = 0; i < 20; ++i) {
+            const auto answer = chooseEntries(view, {}, {region_id("west")}, m_random);
+            CPPUNIT_ASSERT_EQUAL(std::size_t {1}, answer.entries.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("w"), answer.entries[0].instance.str());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, chooseEntries(view, {}, {}, m_random).entries.size());
+        view.entries.push_back(entry("n", "a", "north", 0));
+        CPPUNIT_ASSERT_EQUAL(std::string("n"), chooseEntries(view, {}, {region_id("west")}, m_random).entries[0].instance.str());
     }
 
     void loadedEntriesAreChosenLessOften()
@@ -162,7 +177,7 @@
         directory_view view {data_centre_id("a"), region_id("north"), {entry("idle", "a", "north", 10), entry("busy", "a", "north", 90)}, 10s};
         std::map<std::string, int> first;
         for (int i = 0; i < 1000; ++i) {
-            ++first[chooseEntries(view, {}, m_random).entries[0].instance.str()];
+            ++first[chooseEntries(view, {}, {}, m_random).entries[0].instance.str()];
         }
         CPPUNIT_ASSERT(first["idle"] > 5 * first["busy"] && first["busy"] > 0);
     }
--- a/tests/peer/peer_node_test.cpp
+++ b/tests/peer/peer_node_test.cpp
@@ -92,7 +92,7 @@
         random_source random(1);
         std::set<std::string> names;
         for (int i = 0; i < 20; ++i) {
-            const auto answer = node.publishedDirectory().lookup({}, clock::now(), random);
+            const auto answer = node.publishedDirectory().lookup({}, {}, clock::now(), random);
             std::ranges::for_each(answer.entries, [&](const directory_entry &entry) {
                 names.insert(entry.instance.str());
             });
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -134,11 +134,11 @@
 class fixed_chooser : public relay_chooser
 {
 public:
-    bool available(const pool_name &, mono_time) const override
+    bool available(const pool_name &, mono_time, centre_mask) const override
     {
         return target.has_value();
     }
-    std::optional<relay_target> choose(const pool_name &, mono_time, random_source &) const override
+    std::optional<relay_target> choose(const pool_name &, mono_time, random_source &, centre_mask) const override
     {
         return target;
     }
@@ -228,7 +228,7 @@
         head.caller = caller_id("crew");
         head.depth = 3;
         run([&]() -> asio::awaitable<void> {
-            outcome = co_await relay.relay(pool_name("bookings"), head, clock::now() + deadline, source, answer);
+            outcome = co_await relay.relay(pool_name("bookings"), head, clock::now() + deadline, kAllCentres, source, answer);
         }());
         sourceRead = source.bytesRead();
         return outcome.result;
@@ -490,7 +490,7 @@
         CPPUNIT_ASSERT(pair.call("q") == relay_outcome::kind::NotSent);
         pair.chooser.target.reset();
         CPPUNIT_ASSERT(pair.call("q") == relay_outcome::kind::NotSent);
-        CPPUNIT_ASSERT(!pair.relay.canRelay(pool_name("bookings"), clock::now()));
+        CPPUNIT_ASSERT(!pair.relay.canRelay(pool_name("bookings"), clock::now(), kAllCentres));
     }
 
     void stoppedServerIsNotSent()
@@ -589,7 +589,7 @@
         head.relayed = true;
         relay_outcome outcome;
         pair.run([&]() -> asio::awaitable<void> {
-            outcome = co_await pair.relay.relay(pool_name("p"), head, clock::now() + 1s, body, pair.answer);
+            outcome = co_await pair.relay.relay(pool_name("p"), head, clock::now() + 1s, kAllCentres, body, pair.answer);
         }());
         CPPUNIT_ASSERT(outcome.result == relay_outcome::kind::NotSent);
     }
--- a/tests/region/far_capacity_test.cpp
+++ b/tests/region/far_capacity_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST_SUITE(far_capacity_test);
     CPPUNIT_TEST(choosesOnlyOtherRegionsThatServeThePool);
     CPPUNIT_TEST(prefersSpareCapacity);
+    CPPUNIT_TEST(choosesOnlyAllowedDataCentres);
     CPPUNIT_TEST(expiredRowsAndSummariesAreIgnored);
     CPPUNIT_TEST(olderStampChangesNothing);
     CPPUNIT_TEST(addsUpTheCallsOfMembers);
@@ -88,6 +89,20 @@
         CPPUNIT_ASSERT(chosen.size() == 2 && chosen.contains("in-c") && chosen.contains("in-d"));
     }
 
+    // Guards against a call with homes that is relayed to another region, and against relays to an evacuated data centre.
+    void choosesOnlyAllowedDataCentres()
+    {
+        const placement_limits limits({{region_id("south"), {data_centre_id("c")}}, {region_id("west"), {data_centre_id("d")}}});
+        const auto capacity = m_pools.capacity(someConfiguration(), m_centres, region_id("north"), kNow, &limits);
+        const auto allowed = limits.maskOf(std::vector {region_id("west")});
+        random_source random(3);
+        for (int i = 0; i < 20; ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::string("in-d"), capacity->choose(kQuotes, random, allowed)->id.str());
+        }
+        CPPUNIT_ASSERT(capacity->available(kQuotes, allowed));
+        CPPUNIT_ASSERT(!capacity->available(kQuotes, 0) && capacity->choose(kQuotes, random, 0) == nullptr);
+    }
+
     void prefersSpareCapacity()
     {
         m_pools.take({data_centre_id("c"), 5, {{poolKey(kQuotes), 1, 1, 2, 0}}}, kNow);
