Learn from store reads and other instances that the configuration is the newest

Purpose: give the check of keyed calls its proofs, at an instance that reads the store and at those that rely on another one.

Pages between instances have the field proof_age_ms, which earlier builds ignore.

--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -3,6 +3,7 @@
 #include "sequoiawharf/configuration_state.h"
 #include "sequoiawharf/ids.h"
 #include "sequoiawharf/reading_plan.h"
+#include "sequoiawharf/time.h"
 
 #include <cstdint>
 #include <memory>
@@ -22,6 +23,11 @@
     /// Called when a newer configuration is in force.
     virtual void onConfiguration(std::shared_ptr<const configuration> config) = 0;
 
+    /// Called when the service has shown that no configuration was newer than the one in force at the time at which the read was sent.
+    virtual void onConfigurationProven(boot_time /*sentAt*/)
+    {
+    }
+
     /// Called after a record of the log was accepted or refused.
     virtual void onVerdict(const record_verdict &entry) = 0;
 };
--- a/src/shell/instance/control_metrics.cpp
+++ b/src/shell/instance/control_metrics.cpp
@@ -2,6 +2,9 @@
 
 #include "src/shell/instance/control_plane.h"
 #include "src/shell/metrics/metrics_text.h"
+#include "src/shell/net/clock.h"
+
+#include <fmt/format.h>
 
 #include <array>
 
@@ -38,6 +41,14 @@
                 counters.announcements);
 }
 
+void addFreshness(metrics_text &text, const configuration_freshness &freshness)
+{
+    const auto age = freshness.age(bootNow());
+    const auto value = age ? fmt::format("{:.3f}", std::chrono::duration<double>(*age).count()) : std::string("+Inf");
+    text.single(
+        "sequoiawharf_configuration_proof_age_seconds", "gauge", "Age of the proof that the configuration in force is the newest one; +Inf: none.", value);
+}
+
 void addControlBytes(metrics_text &text, const control_budget &budget)
 {
     const auto add = [&](std::string_view name, std::string_view help, auto read) {
@@ -100,6 +111,9 @@
     auto &node = plane.node();
     metrics_text text;
     addConfiguration(text, plane.feed());
+    if (plane.freshness().isOn()) {
+        addFreshness(text, plane.freshness());
+    }
     text.single("sequoiawharf_ready", "gauge", "1 when callers are served.", plane.readiness().ready ? 1 : 0);
     text.single("sequoiawharf_members_live", "gauge", "Live instances of the data centre, this one included.", node.members().liveMembers(now).size());
     text.single("sequoiawharf_region_members_live", "gauge", "Live instances of the region, this one included.", node.members().liveInRegion(now));
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -37,6 +37,7 @@
 constexpr milliseconds kMembersSettleTime {3000}; ///< After the first list; heartbeats of all live instances of a data centre have arrived by then.
 constexpr milliseconds kStatusInterval {500};
 constexpr milliseconds kMaxTickGap {1500}; ///< A longer gap between two ticks counts as a pause of the process.
+constexpr milliseconds kProofQueryInterval {500}; ///< Between two queries of an instance whose proof is old.
 constexpr unsigned kLogReadersPerRegion = 2; ///< Instances of a region that follow the log all the time.
 
 std::uint64_t seedOf(const instance_settings &settings)
@@ -71,6 +72,8 @@
     , m_routings(std::make_shared<const routing>())
     , m_routing(std::make_shared<const routing>())
     , m_list(outside.makeInstanceList(settings))
+    , m_freshness(settings.revocationBound)
+    , m_proofExpectedAt(bootNow() + settings.revocationBound)
     , m_feed(outside.makeConfigurationSource(context, settings, *this, seedOf(settings)))
     , m_node(context,
              {.settings = settings,
@@ -124,6 +127,9 @@
         m_feed->resetReadiness();
     }
     updateMembers(now);
+    if (m_freshness.isOn()) {
+        updateFreshness(now);
+    }
     if (const bool ready = readiness().ready; ready != m_publishedReady || now >= m_statusDue) {
         m_publishedReady = ready;
         m_statusDue = now + kStatusInterval;
@@ -206,7 +212,7 @@
     const auto role = chooseReadingRole(m_settings.id, std::move(ids), isStarting);
     // The others learn of a new version from the reader within one interval, also those whose own poll has fallen silent.
     const bool isReliedUpon = role.isReader && !isStarting && !near.empty() && m_settings.configurationBound.count() > 0;
-    m_feed->setPollTimes(isReliedUpon ? std::optional(poll_times::within(m_settings.configurationBound)) : std::nullopt);
+    m_feed->setPollTimes(pollTimes(isReliedUpon, role.isReader));
     std::vector<host_port> others;
     std::ranges::transform(role.readers, std::back_inserter(others), [&](const instance_id &id) {
         return near.at(id);
@@ -214,9 +220,85 @@
     m_endpoints->setOthers(std::move(others), role.isReader);
 }
 
+// Returns the times of polls. An instance on which others rely must notice early that its poll has fallen silent, and the one that reads for the data
+// centre proves for the others that their configuration is recent. nothing: the source's own times.
+std::optional<poll_times> control_plane::pollTimes(bool isReliedUpon, bool isReader) const
+{
+    auto times = isReliedUpon ? std::optional(poll_times::within(m_settings.configurationBound)) : std::nullopt;
+    if (!m_freshness.isOn()) {
+        return times;
+    }
+    const auto proving = poll_times::withinRevocation(m_settings.revocationBound);
+    if (shouldReadStoreForProof()) {
+        return poll_times {.wait = milliseconds(0), .answerTimeout = proving.answerTimeout}; // only an answer proves
+    }
+    if (!isReader) {
+        return times; // the reader's proof serves this instance, also when it follows the store for itself
+    }
+    const auto limit = times.value_or(proving);
+    return poll_times {.wait = std::min(limit.wait, proving.wait), .answerTimeout = std::min(limit.answerTimeout, proving.answerTimeout)};
+}
+
+// Returns whether the proofs of other instances do not suffice. A new process gets its first proof from the read with which it starts.
+bool control_plane::shouldReadStoreForProof() const
+{
+    const auto now = bootNow();
+    return now >= m_proofExpectedAt && m_freshness.shouldReadStore(now);
+}
+
+// Rounded up, since another instance must not take the proof for younger than it is.
+std::optional<milliseconds> control_plane::proofAge() const
+{
+    const auto age = m_freshness.isOn() ? m_freshness.age(bootNow()) : std::nullopt;
+    return age ? std::optional(std::chrono::ceil<milliseconds>(*age)) : std::nullopt;
+}
+
+// Asks for a younger proof before the one that this instance has is too old, first another instance and then the store.
+void control_plane::updateFreshness(mono_time now)
+{
+    const auto bootTime = bootNow();
+    if (m_endpoints && now >= m_proofQueryDue && m_freshness.shouldAskPeers(bootTime)) {
+        m_proofQueryDue = now + kProofQueryInterval;
+        m_endpoints->askForProof();
+    }
+    if (shouldReadStoreForProof()) {
+        m_feed->setFollowing(true);
+    }
+    const bool admits = m_freshness.admitsKeyedCalls(bootTime);
+    if (admits == m_admitsKeyedCalls) {
+        return;
+    }
+    m_admitsKeyedCalls = admits;
+    const auto ageMs = proofAge().value_or(milliseconds(-1)).count();
+    if (admits) {
+        logTo(log_level::Info, kPart, "Calls with a key are admitted. version={} proof_age_ms={}", m_feed->current()->version, ageMs);
+    } else {
+        logTo(log_level::Warning,
+              kPart,
+              "Calls with a key are refused, because the configuration may be out of date. version={} proof_age_ms={} bound_ms={}",
+              m_feed->current()->version,
+              ageMs,
+              m_settings.revocationBound.count());
+    }
+}
+
+void control_plane::onConfigurationProven(boot_time sentAt)
+{
+    if (m_freshness.isOn()) {
+        m_freshness.recordOwnRead(sentAt, m_feed->current()->version);
+    }
+}
+
+void control_plane::onPeerProof(const peer_configuration &told, boot_time askedAt)
+{
+    if (m_freshness.isOn()) {
+        m_freshness.recordPeer(askedAt, told.proofAge, told.version, m_feed->current()->version);
+    }
+}
+
 void control_plane::onPeerConfiguration(const host_port &teller, const peer_configuration &told)
 {
-    m_feed->setFollowing(!told.isFollowed || !m_mayUseReaderForConfiguration);
+    m_feed->setFollowing(!told.isFollowed || !m_mayUseReaderForConfiguration || shouldReadStoreForProof());
     if (told.isFollowed && told.next > 0) {
         m_feed->recordPosition(told.version, told.next);
     }
@@ -326,6 +408,7 @@
     const auto before = m_config->version;
     m_config = std::move(config);
     publishRouting(monoNow());
+    m_freshness.recordVersion(m_config->version);
     m_prober.setPages(m_config->pools, m_settings.id, m_settings.dataCentre, m_live);
     record(event_kind::ConfigurationAccepted, std::to_string(m_config->version), fmt::format("before={} from={}", before, m_applyingPeer ? "peer" : "log"));
     if (!m_applyingPeer) {
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sequoiawharf/configuration_freshness.h"
 #include "sequoiawharf/pool_watch.h"
 #include "sequoiawharf/random_source.h"
 #include "sequoiawharf/routing.h"
@@ -61,6 +62,11 @@
     {
         return m_routings;
     }
+    /// Decides whether calls with a key are admitted. Its const methods are thread safe.
+    const configuration_freshness &freshness() const
+    {
+        return m_freshness;
+    }
     peer_node &node()
     {
         return m_node;
@@ -73,7 +79,8 @@
     /// endpoints.
     std::string endpointPage(log_offset from, mono_time now)
     {
-        const peer_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf()};
+        const peer_configuration configuration {
+            .version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf(), .proofAge = proofAge()};
         return m_endpoints ? m_endpoints->page(from, configuration, now) : std::string {};
     }
     /// Waits until the endpoints are known, but not longer than until the given time. Returns at once when the pool table names the endpoints.
@@ -90,9 +97,11 @@
 
 private:
     void onConfiguration(std::shared_ptr<const configuration> config) override;
+    void onConfigurationProven(boot_time sentAt) override;
     void onVerdict(const record_verdict &entry) override;
     void onEndpoints(std::map<pool_name, std::vector<endpoint>> endpoints) override;
     void onPeerConfiguration(const host_port &teller, const peer_configuration &told) override;
+    void onPeerProof(const peer_configuration &told, boot_time askedAt) override;
     void onReaderUnavailable() override;
     void onServiceRecovered() override;
     std::shared_ptr<const configuration> current() const override;
@@ -103,6 +112,10 @@
     std::chrono::milliseconds listPause(bool isAnswered, unsigned reads) const;
     void applyList(const std::vector<listed_instance> &listed);
     void updateMembers(mono_time now);
+    void updateFreshness(mono_time now);
+    std::optional<std::chrono::milliseconds> proofAge() const;
+    bool shouldReadStoreForProof() const;
+    std::optional<poll_times> pollTimes(bool isReliedUpon, bool isReader) const;
     void publishStatus(mono_time now);
     std::vector<pool_totals> poolTotals(mono_time now) const;
     void applyLeavingNotice(const leaving_notice &notice);
@@ -122,6 +135,10 @@
     rcu_snapshot<routing> m_routings;
     std::shared_ptr<const routing> m_routing; ///< The newest published one.
     std::unique_ptr<instance_list_client> m_list;
+    configuration_freshness m_freshness;
+    boot_time m_proofExpectedAt; ///< The first read of the configuration has had time to end.
+    mono_time m_proofQueryDue {}; ///< Earliest time of the next query to another instance for a younger proof.
+    bool m_admitsKeyedCalls = false; ///< As logged last.
     std::unique_ptr<configuration_source> m_feed;
     std::unique_ptr<endpoint_feed> m_endpoints; ///< Null: the pool table names the endpoints.
     peer_node m_node;
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -173,6 +173,7 @@
     request.server = std::move(other);
     request.path = endpointPagePath(isFullRead ? 0 : *m_next);
     request.maxAnswerBytes = kMaxEndpointPageBytes;
+    const auto askedAt = bootNow();
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
     if (!answer || answer->status != kOk) {
         co_return std::nullopt;
@@ -187,9 +188,38 @@
     m_registry.discoveryAnswered(asked);
     m_asOf = std::max(m_asOf, asked - page->age);
     applyPage(page->changes);
+    m_observer.onPeerProof(page->configuration, askedAt);
     co_return page->configuration;
 }
 
+void endpoint_feed::askForProof()
+{
+    if (!std::exchange(m_isAskingForProof, true)) {
+        asio::co_spawn(m_context, askNextForProof(), asio::detached);
+    }
+}
+
+// Does not go through askInstance(), which would request all entries from each instance that is asked.
+asio::awaitable<void> endpoint_feed::askNextForProof()
+{
+    if (m_others.empty() || !m_next) {
+        m_isAskingForProof = false;
+        co_return;
+    }
+    m_proofAskedIndex = (m_proofAskedIndex + 1) % m_others.size();
+    http_request request;
+    request.server = m_others[m_proofAskedIndex];
+    request.path = endpointPagePath(*m_next);
+    request.maxAnswerBytes = kMaxEndpointPageBytes;
+    const auto askedAt = bootNow();
+    const auto answer = co_await fetch(std::move(request), kAskTimeout);
+    m_isAskingForProof = false;
+    const auto page = answer && answer->status == kOk ? parseEndpointPage(answer->body) : std::nullopt;
+    if (page) {
+        m_observer.onPeerProof(page->configuration, askedAt);
+    }
+}
+
 milliseconds endpoint_feed::randomBelow(milliseconds time)
 {
     return milliseconds(m_random.below(static_cast<std::uint32_t>(time.count())));
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -32,6 +32,10 @@
     /// others is. The first read waits up to 1.5 seconds for the first call of this method.
     void setOthers(std::vector<host_port> others, bool isReader);
 
+    /// Asks the next of the other instances for its configuration's version and proof, unless such a query is under way. The endpoints in its answer are
+    /// ignored.
+    void askForProof();
+
     /// Returns whether the endpoints are known.
     bool isKnown() const
     {
@@ -57,6 +61,7 @@
     boost::asio::awaitable<bool> askAndReport(host_port other);
     boost::asio::awaitable<std::optional<peer_configuration>> askInstance(host_port other);
     boost::asio::awaitable<bool> askAnother();
+    boost::asio::awaitable<void> askNextForProof();
     boost::asio::awaitable<bool> readService();
     void reportRecovery();
     std::chrono::milliseconds randomBelow(std::chrono::milliseconds time);
@@ -74,6 +79,8 @@
     bool m_areOthersSet = false;
     async_signal m_othersSet;
     std::size_t m_askedIndex = 0; ///< Index of the instance asked last in turn, while the service does not answer.
+    std::size_t m_proofAskedIndex = 0; ///< Index of the instance that askForProof() asked last.
+    bool m_isAskingForProof = false;
     std::optional<log_offset> m_next; ///< Offset of the next read; empty when all entries must be read.
     mono_time m_asOf {}; ///< The known endpoints are at least as new as this time.
     mono_time m_ownReadDue {}; ///< Earliest time of this instance's next read of the service.
--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -79,7 +79,7 @@
 
 std::string formatEndpointPage(const endpoint_page &page, std::string_view records)
 {
-    const json::object head {
+    json::object head {
         {"next", page.changes.next},
         {"whole", page.changes.isSnapshot},
         {"age_ms", page.age.count()},
@@ -87,6 +87,9 @@
         {"is_followed", page.configuration.isFollowed},
         {"config_next", page.configuration.next},
     };
+    if (page.configuration.proofAge) {
+        head["proof_age_ms"] = page.configuration.proofAge->count();
+    }
     return fmt::format("{}\n{}", json::serialize(head), records);
 }
 
@@ -111,6 +114,9 @@
         // Instances of earlier builds do not tell it.
         const auto *const next = object.if_contains("config_next");
         page.configuration.next = next == nullptr ? 0 : next->to_number<log_offset>();
+        if (const auto *const proofAge = object.if_contains("proof_age_ms")) {
+            page.configuration.proofAge = std::chrono::milliseconds(proofAge->to_number<std::int64_t>());
+        }
         std::ranges::transform(records.as_array(), std::back_inserter(page.changes.records), toRecord);
         return page;
     } catch (const std::exception &) {
--- a/src/shell/instance/endpoint_page.h
+++ b/src/shell/instance/endpoint_page.h
@@ -16,6 +16,7 @@
     config_version version = 0;
     bool isFollowed = false; ///< The answering instance follows configurations itself.
     log_offset next = 0; ///< Where the instance's next read of configurations starts; 0: not known.
+    std::optional<std::chrono::milliseconds> proofAge {}; ///< Age of the instance's proof that the version is the newest; nothing: it has none.
 
     friend bool operator==(const peer_configuration &, const peer_configuration &) = default;
 };
--- a/src/shell/instance/endpoint_source.h
+++ b/src/shell/instance/endpoint_source.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/ids.h"
 #include "sequoiawharf/pool_table.h"
+#include "sequoiawharf/time.h"
 #include "src/shell/instance/endpoint_page.h"
 
 #include <map>
@@ -22,6 +23,11 @@
     /// Called when another instance answered with the configuration that it has. teller: that instance's operators' address.
     virtual void onPeerConfiguration(const host_port &teller, const peer_configuration &told) = 0;
 
+    /// Called when another instance answered, before onPeerConfiguration(). askedAt: when the query was sent.
+    virtual void onPeerProof(const peer_configuration & /*told*/, boot_time /*askedAt*/)
+    {
+    }
+
     /// Called when no other instance answers for this one, so that it must follow configurations itself.
     virtual void onReaderUnavailable() = 0;
 
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -136,7 +136,8 @@
     , m_readyPages(m_control)
     , m_stop(m_settings.directoryLifetime + m_settings.directoryOverrun, m_settings.stopDeadline - kStopMargin)
     , m_peers(m_settings, m_process, m_settings.seed != 0 ? m_settings.seed : m_process, m_plane.node(), m_control, m_plane.routings())
-    , m_gateway(m_settings, m_plane.routings(), m_plane.node().publishedDirectory(), m_peers.relays(), m_events, m_metrics, outside.dialect())
+    , m_gateway(
+          m_settings, m_plane.routings(), m_plane.node().publishedDirectory(), m_peers.relays(), m_events, m_metrics, outside.dialect(), &m_plane.freshness())
 {
 }
 
--- a/tests/instance/endpoint_page_test.cpp
+++ b/tests/instance/endpoint_page_test.cpp
@@ -29,6 +29,7 @@
 {
     CPPUNIT_TEST_SUITE(endpoint_page_test);
     CPPUNIT_TEST(pagesKeepTheirContent);
+    CPPUNIT_TEST(aPageStatesTheAgeOfTheProof);
     CPPUNIT_TEST(damagedPagesAreRejected);
     CPPUNIT_TEST(aStartingDataCentreGetsItsPagesWithinHalfASecond);
     CPPUNIT_TEST_SUITE_END();
@@ -51,6 +52,17 @@
         }
     }
 
+    // Guards against a page of an earlier build, or of an instance without a proof, that counts as a proof.
+    void aPageStatesTheAgeOfTheProof()
+    {
+        auto page = pageOf(1);
+        const auto records = formatEndpointRecords(page.changes.records);
+        const auto without = formatEndpointPage(page, records);
+        CPPUNIT_ASSERT(without.find("proof") == std::string::npos && !parseEndpointPage(without)->configuration.proofAge);
+        page.configuration.proofAge = std::chrono::milliseconds(1200);
+        CPPUNIT_ASSERT(parseEndpointPage(formatEndpointPage(page, records))->configuration.proofAge == std::chrono::milliseconds(1200));
+    }
+
     void damagedPagesAreRejected()
     {
         const auto page = pageOf(600);
