Send nothing to evacuated data centres

Purpose: section 5 of docs/design/shared-load.md, evacuation.

The page of endpoints carries the set (absent: nothing changes). The control plane puts it into placement_limits, which all balancers read at each choice, those of calls that started earlier too. The position of a peer that does not tell evacuations, one of an earlier build, is not used any more, since records before it would be skipped.

--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,19 @@
 
     /// Called after a record of the log was accepted or refused.
     virtual void onVerdict(const record_verdict &entry) = 0;
+
+    /// Called when the set of evacuated data centres has changed; it is empty at first.
+    virtual void onEvacuations(const std::set<data_centre_id> & /*centres*/)
+    {
+    }
+};
+
+/// The data centres that the operators have evacuated.
+struct evacuation_state {
+    std::set<data_centre_id> centres;
+    log_offset asOf = 0; ///< All records before this offset have been read; 0: not known.
+
+    friend bool operator==(const evacuation_state &, const evacuation_state &) = default;
 };
 
 /// Counters of a source since its start.
@@ -68,6 +82,17 @@
     /// that has this version starts its next read at the offset.
     virtual void recordPosition(config_version version, log_offset next) = 0;
 
+    /// Returns the evacuated data centres. A source whose service has no evacuations returns an unknown state.
+    virtual evacuation_state evacuations() const
+    {
+        return {};
+    }
+
+    /// Takes the evacuated data centres from a peer. A state that is older than the source's own is ignored.
+    virtual void applyPeerEvacuations(const evacuation_state & /*told*/)
+    {
+    }
+
     /// Restarts the calls to the service that still wait for an answer. Called when the service is back after an outage, since it may have lost
     /// these calls.
     virtual void reconnect() = 0;
--- a/src/shell/instance/control_metrics.cpp
+++ b/src/shell/instance/control_metrics.cpp
@@ -103,6 +103,7 @@
     text.single("sequoiawharf_ready", "gauge", "1 when callers are served.", plane.readiness().ready ? 1 : 0);
     text.single("sequoiawharf_members_live", "gauge", "Live instances of the data centre, this one included.", node.members().liveMembers(now).size());
     text.single("sequoiawharf_region_members_live", "gauge", "Live instances of the region, this one included.", node.members().liveInRegion(now));
+    text.single("sequoiawharf_evacuated_data_centres", "gauge", "Data centres to whose endpoints no calls are sent.", plane.evacuated().size());
     addControlBytes(text, node.members().budget());
     addMeasuring(text, plane.measuring());
     addLink(text, node.linkBudget(), node.traffic(), relayed);
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -12,6 +12,7 @@
 #include <ctime>
 #include <random>
 #include <ranges>
+#include <utility>
 
 namespace sequoiawharf
 {
@@ -79,11 +80,11 @@
               .seed = seedOf(settings),
               .configuration = this,
               .events = &events,
-              .limits = m_limits,
               .markLeaving =
                   [this](const leaving_notice &notice) {
                       applyLeavingNotice(notice);
-                  }})
+                  },
+              .limits = m_limits})
     , m_measuring(settings.measuring, monoNow())
     , m_prober(context,
                m_measuring,
@@ -219,7 +220,12 @@
 void control_plane::onPeerConfiguration(const host_port &teller, const peer_configuration &told)
 {
     m_feed->setFollowing(!told.isFollowed || !m_mayUseReaderForConfiguration);
-    if (told.isFollowed && told.next > 0) {
+    if (told.evacuations) {
+        m_feed->applyPeerEvacuations(*told.evacuations);
+    }
+    // An instance of an earlier build tells a position, but not the evacuations before it.
+    const bool tellsEvacuations = told.evacuations && told.evacuations->asOf >= told.next;
+    if (told.isFollowed && told.next > 0 && tellsEvacuations) {
         m_feed->recordPosition(told.version, told.next);
     }
     if (told.version > m_feed->current()->version) {
@@ -337,6 +343,27 @@
     m_onReadinessInput();
 }
 
+// Puts evacuations in force, at once and also for calls that are running.
+void control_plane::onEvacuations(const std::set<data_centre_id> &centres)
+{
+    m_limits->setEvacuated(centres);
+    const auto before = std::exchange(m_evacuated, centres);
+    std::ranges::for_each(m_evacuated, [&](const data_centre_id &centre) {
+        if (!before.contains(centre)) {
+            logTo(log_level::Warning,
+                  kPart,
+                  "A data centre is evacuated; no calls are sent to its endpoints. data_centre={} region={}",
+                  centre.str(),
+                  m_settings.regionOf(centre).str());
+        }
+    });
+    std::ranges::for_each(before, [&](const data_centre_id &centre) {
+        if (!m_evacuated.contains(centre)) {
+            logTo(log_level::Warning, kPart, "The evacuation of a data centre has ended. data_centre={}", centre.str());
+        }
+    });
+}
+
 void control_plane::onVerdict(const record_verdict &entry)
 {
     if (!isRefusal(entry.result)) {
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -69,6 +69,10 @@
     {
         return *m_feed;
     }
+    const std::set<data_centre_id> &evacuated() const
+    {
+        return m_evacuated;
+    }
     /// Returns the homes of all routes for the host; see route_table.
     std::vector<region_id> homesOf(std::string_view host) const
     {
@@ -78,7 +82,10 @@
     /// endpoints.
     std::string endpointPage(log_offset from, mono_time now)
     {
-        const peer_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf()};
+        peer_configuration configuration {.version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf()};
+        if (auto evacuations = m_feed->evacuations(); evacuations.asOf > 0) {
+            configuration.evacuations = std::move(evacuations);
+        }
         return m_endpoints ? m_endpoints->page(from, configuration, now) : std::string {};
     }
     /// Waits until the endpoints are known, but not longer than until the given time. Returns at once when the pool table names the endpoints.
@@ -96,6 +103,7 @@
 private:
     void onConfiguration(std::shared_ptr<const configuration> config) override;
     void onVerdict(const record_verdict &entry) override;
+    void onEvacuations(const std::set<data_centre_id> &centres) override;
     void onEndpoints(std::map<pool_name, std::vector<endpoint>> endpoints) override;
     void onPeerConfiguration(const host_port &teller, const peer_configuration &told) override;
     void onReaderUnavailable() override;
@@ -125,6 +133,7 @@
     std::function<void()> m_onReadinessInput = [] { };
     std::shared_ptr<const selection_policy> m_policy;
     std::shared_ptr<placement_limits> m_limits; ///< Never null.
+    std::set<data_centre_id> m_evacuated; ///< As m_limits has them, by name.
     rcu_snapshot<routing> m_routings;
     std::shared_ptr<const routing> m_routing; ///< The newest published one.
     std::unique_ptr<instance_list_client> m_list;
--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -63,6 +63,25 @@
     return record;
 }
 
+json::object evacuationsToJson(const evacuation_state &state)
+{
+    json::array centres;
+    std::ranges::transform(state.centres, std::back_inserter(centres), [](const data_centre_id &centre) {
+        return json::value(centre.str());
+    });
+    return {{"as_of", state.asOf}, {"centres", std::move(centres)}};
+}
+
+evacuation_state toEvacuations(const json::value &value)
+{
+    evacuation_state state;
+    state.asOf = value.as_object().at("as_of").to_number<log_offset>();
+    std::ranges::for_each(value.as_object().at("centres").as_array(), [&](const json::value &centre) {
+        state.centres.emplace(json::value_to<std::string>(centre));
+    });
+    return state;
+}
+
 } // namespace
 
 std::string endpointPagePath(std::uint64_t from)
@@ -79,7 +98,7 @@
 
 std::string formatEndpointPage(const endpoint_page &page, std::string_view records)
 {
-    const json::object head {
+    json::object head {
         {"next", page.changes.next},
         {"whole", page.changes.isSnapshot},
         {"age_ms", page.age.count()},
@@ -87,6 +106,9 @@
         {"is_followed", page.configuration.isFollowed},
         {"config_next", page.configuration.next},
     };
+    if (page.configuration.evacuations) {
+        head["evacuations"] = evacuationsToJson(*page.configuration.evacuations);
+    }
     return fmt::format("{}\n{}", json::serialize(head), records);
 }
 
@@ -111,6 +133,9 @@
         // Instances of earlier builds do not tell it.
         const auto *const next = object.if_contains("config_next");
         page.configuration.next = next == nullptr ? 0 : next->to_number<log_offset>();
+        if (const auto *const evacuations = object.if_contains("evacuations")) {
+            page.configuration.evacuations = toEvacuations(*evacuations);
+        }
         std::ranges::transform(records.as_array(), std::back_inserter(page.changes.records), toRecord);
         return page;
     } catch (const std::exception &) {
--- a/src/shell/instance/endpoint_page.h
+++ b/src/shell/instance/endpoint_page.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/endpoint_registry.h"
 #include "sequoiawharf/ids.h"
+#include "src/shell/instance/configuration_source.h"
 
 #include <chrono>
 #include <optional>
@@ -16,6 +17,7 @@
     config_version version = 0;
     bool isFollowed = false; ///< The answering instance follows configurations itself.
     log_offset next = 0; ///< Where the instance's next read of configurations starts; 0: not known.
+    std::optional<evacuation_state> evacuations {}; ///< Nothing: the answering instance does not know, or is of an earlier build.
 
     friend bool operator==(const peer_configuration &, const peer_configuration &) = default;
 };
--- a/src/shell/peer/peer_node.h
+++ b/src/shell/peer/peer_node.h
@@ -46,8 +46,8 @@
     std::uint64_t seed = 0;
     configuration_access *configuration = nullptr; ///< Not null.
     event_sink *events = nullptr; ///< Null: no events are recorded.
-    std::shared_ptr<const placement_limits> limits {}; ///< Numbers the data centres; null: relays are not limited to some of them.
     std::function<void(const leaving_notice &)> markLeaving; ///< Called for each endpoint that takes no new work, including those announced by this instance.
+    std::shared_ptr<const placement_limits> limits {}; ///< Numbers the data centres; null: relays are not limited to some of them.
 };
 
 /// Runs membership, the exchange of configuration and the shares of the link between regions on the control thread. All methods run on that thread,
--- a/tests/instance/endpoint_page_test.cpp
+++ b/tests/instance/endpoint_page_test.cpp
@@ -29,6 +29,7 @@
 {
     CPPUNIT_TEST_SUITE(endpoint_page_test);
     CPPUNIT_TEST(pagesKeepTheirContent);
+    CPPUNIT_TEST(pagesTellEvacuations);
     CPPUNIT_TEST(damagedPagesAreRejected);
     CPPUNIT_TEST(aStartingDataCentreGetsItsPagesWithinHalfASecond);
     CPPUNIT_TEST_SUITE_END();
@@ -51,6 +52,20 @@
         }
     }
 
+    // Guards against an evacuation that an instance ends because its reader, of an earlier build, does not tell of it.
+    void pagesTellEvacuations()
+    {
+        auto page = pageOf(1);
+        const auto records = formatEndpointRecords(page.changes.records);
+        const auto untold = formatEndpointPage(page, records);
+        CPPUNIT_ASSERT(untold.find("evacuations") == std::string::npos && !parseEndpointPage(untold)->configuration.evacuations);
+        for (const auto &centres : {std::set<data_centre_id> {}, std::set {data_centre_id("a"), data_centre_id("b")}}) {
+            page.configuration.evacuations = evacuation_state {.centres = centres, .asOf = 12};
+            const auto read = parseEndpointPage(formatEndpointPage(page, records));
+            CPPUNIT_ASSERT(read && read->configuration == page.configuration);
+        }
+    }
+
     void damagedPagesAreRejected()
     {
         const auto page = pageOf(600);
