--- a/src/shell/instance/endpoint_page.cpp
+++ b/src/shell/instance/endpoint_page.cpp
@@ -63,6 +63,25 @@
     return record;
 }
 
+json::object evacuationsToJson(const evacuation_state &state)
+{
+    json::array centres;
+    std::ranges::transform(state.centres, std::back_inserter(centres), [](const data_centre_id &centre) {
+        return json::value(centre.str());
+    });
+    return {{"as_of", state.asOf}, {"centres", std::move(centres)}};
+}
+
+evacuation_state toEvacuations(const json::value &value)
+{
+    evacuation_state state;
+    state.asOf = value.as_object().at("as_of").to_number<log_offset>();
+    std::ranges::for_each(value.as_object().at("centres").as_array(), [&](const json::value &centre) {
+        state.centres.emplace(json::value_to<std::string>(centre));
+    });
+    return state;
+}
+
 } // namespace
 
 std::string endpointPagePath(std::uint64_t from)
@@ -90,6 +109,9 @@
     if (page.configuration.proofAge) {
         head["proof_age_ms"] = page.configuration.proofAge->count();
     }
+    if (page.configuration.evacuations) {
+        head["evacuations"] = evacuationsToJson(*page.configuration.evacuations);
+    }
     return fmt::format("{}\n{}", json::serialize(head), records);
 }
 
@@ -117,6 +139,9 @@
         if (const auto *const proofAge = object.if_contains("proof_age_ms")) {
             page.configuration.proofAge = std::chrono::milliseconds(proofAge->to_number<std::int64_t>());
         }
+        if (const auto *const evacuations = object.if_contains("evacuations")) {
+            page.configuration.evacuations = toEvacuations(*evacuations);
+        }
         std::ranges::transform(records.as_array(), std::back_inserter(page.changes.records), toRecord);
         return page;
     } catch (const std::exception &) {
