--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -56,6 +56,21 @@
     friend bool operator==(const repeat_limits &, const repeat_limits &) = default;
 };
 
+/// Enforcement of the quotas of organisations: the calls of one that all instances together send in any window are at most
+/// (rate x window + burst) x (1 + overshoot) + slack.
+struct quota_settings {
+    std::chrono::milliseconds window {0}; ///< 0: quotas are not enforced.
+    double overshoot = 0;
+    double slack = 0; ///< In calls.
+
+    /// Returns whether quotas are enforced.
+    bool isSet() const
+    {
+        return window.count() > 0;
+    }
+    friend bool operator==(const quota_settings &, const quota_settings &) = default;
+};
+
 /// How endpoints are probed for their load right before a call is sent to one of them.
 struct probing_settings {
     unsigned count = 0; ///< Endpoints probed in the instance's data centre; 0: no probing, the selection policy uses the load already known.
@@ -93,6 +108,7 @@
     link_settings link;
     repeat_limits repeats;
     probing_settings probing;
+    quota_settings quotas;
     std::chrono::milliseconds leavingBound {3000}; ///< Time within which an endpoint that announced that it is leaving gets no new calls any more.
     bool isFirstStart = false; ///< All instances are starting for the first time, at about the same time, and there are no calls yet.
     std::chrono::milliseconds configurationBound {0}; ///< Time within which a new configuration must be in force on all instances; 0: as soon as possible.
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -31,6 +31,7 @@
 {
     CPPUNIT_TEST_SUITE(settings_test);
     CPPUNIT_TEST(readsMinimalSettings);
+    CPPUNIT_TEST(quotasAreEnforcedOnlyWhenSet);
     CPPUNIT_TEST(listsAllFaultsAtOnce);
     CPPUNIT_TEST(refusesDataCentreOfAnotherRegion);
     CPPUNIT_TEST(refusesMalformedYaml);
@@ -64,6 +65,17 @@
         CPPUNIT_ASSERT(settings->regionOf(data_centre_id("c")) == region_id("south"));
     }
 
+    // Guards against quotas that are enforced in deployments whose settings do not ask for it.
+    void quotasAreEnforcedOnlyWhenSet()
+    {
+        CPPUNIT_ASSERT(!parseSettings(kMinimal)->quotas.isSet());
+        const auto settings = parseSettings(kMinimal + "quotas: {window_seconds: 5, overshoot: 0.1, slack: 20}\n");
+        CPPUNIT_ASSERT(settings.has_value() && settings->quotas.isSet());
+        CPPUNIT_ASSERT((settings->quotas == quota_settings {std::chrono::milliseconds(5000), 0.1, 20}));
+        const auto faults = parseSettings(kMinimal + "quotas: {slack: -1}\n");
+        CPPUNIT_ASSERT(!faults.has_value() && mentions(faults.error(), "\"slack\"", 9));
+    }
+
     void listsAllFaultsAtOnce()
     {
         const auto settings = parseSettings(kMinimal + "threads: 0\nlog_level: loud\ncolour: red\nlimits: {header_bytes: 5}\n");
