--- a/bench/gateway_fakes.h
+++ b/bench/gateway_fakes.h
@@ -10,7 +10,8 @@
 class empty_directory final : public directory
 {
 public:
-    directory_answer lookup(const data_centre_id & /*near*/, mono_time /*now*/, random_source & /*random*/) const override
+    directory_answer
+    lookup(const data_centre_id & /*near*/, const std::vector<region_id> & /*homes*/, mono_time /*now*/, random_source & /*random*/) const override
     {
         return {};
     }
--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -80,6 +80,21 @@
     friend bool operator==(const hedge_limits &, const hedge_limits &) = default;
 };
 
+/// Enforcement of the quotas of organisations: the calls of one that all instances together send in any window are at most
+/// (rate x window + burst) x (1 + overshoot) + slack.
+struct quota_settings {
+    std::chrono::milliseconds window {0}; ///< 0: quotas are not enforced.
+    double overshoot = 0;
+    double slack = 0; ///< In calls.
+
+    /// Returns whether quotas are enforced.
+    bool isSet() const
+    {
+        return window.count() > 0;
+    }
+    friend bool operator==(const quota_settings &, const quota_settings &) = default;
+};
+
 /// How endpoints are probed for their load right before a call is sent to one of them.
 struct probing_settings {
     unsigned count = 0; ///< Endpoints probed in the instance's data centre; 0: no probing, the selection policy uses the load already known.
