--- a/include/sequoiawharf/time.h
+++ b/include/sequoiawharf/time.h
@@ -18,7 +18,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
 };
 using boot_time = boot_clock::time_point;
 
--- a/src/balance/latency_profile.h
+++ b/src/balance/latency_profile.h
@@ -9,8 +9,8 @@
 namespace sequoiawharf
 {
 
-/// The recent latencies of one pool's answers: the minimum, and estimates of the 95th percentile and of the latency that a given share exceeds. Thread safe and lock-free; of concurrent samples,
-/// some may be lost.
+/// The recent latencies of one pool's answers: the minimum, and estimates of the 95th percentile and of the latency that a given share exceeds. Thread safe and
+/// lock-free; of concurrent samples, some may be lost.
 class latency_profile
 {
 public:
--- a/src/shell/gateway/header_rules.cpp
+++ b/src/shell/gateway/header_rules.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kCallIdDigits = 16;
 constexpr std::string_view kUtilisationKey = "application_utilization=";
 
-std::string_view toView(boost::beast::string_view text)
+std::string_view asView(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
@@ -67,10 +67,10 @@
     if (codings + lengths > 1) {
         return "the message states its length more than once";
     }
-    if (codings == 1 && (version < 11 || !equalsIgnoringCase(toView(fields[http::field::transfer_encoding]), "chunked"))) {
+    if (codings == 1 && (version < 11 || !equalsIgnoringCase(asView(fields[http::field::transfer_encoding]), "chunked"))) {
         return "the transfer coding is not supported";
     }
-    if (lengths == 1 && !parseDecimal(toView(fields[http::field::content_length]))) {
+    if (lengths == 1 && !parseDecimal(asView(fields[http::field::content_length]))) {
         return "the content length is not a number";
     }
     return {};
@@ -87,12 +87,12 @@
 
 header_list endToEnd(const http::fields &fields, const call_dialect &dialect)
 {
-    const auto connection = toView(fields[http::field::connection]);
+    const auto connection = asView(fields[http::field::connection]);
     header_list result;
     for (const auto &field : fields) {
-        const auto name = toView(field.name_string());
+        const auto name = asView(field.name_string());
         if (!isHopByHop(field.name()) && !dialect.isOwnField(name) && !isNamedByConnection(name, connection)) {
-            result.push_back({std::string(name), std::string(toView(field.value()))});
+            result.push_back({std::string(name), std::string(asView(field.value()))});
         }
     }
     return result;
@@ -134,7 +134,7 @@
     }
     const auto [first, last] = fields.equal_range(http::field::retry_after);
     std::for_each(first, last, [&](const http::fields::value_type &field) {
-        const auto rest = parseSeconds(toView(field.value()));
+        const auto rest = parseSeconds(asView(field.value()));
         stated.rest = std::max(stated.rest, rest.value_or(std::chrono::milliseconds(0)));
         stated.isRestUnreadable = stated.isRestUnreadable || !rest;
     });
--- a/src/shell/gateway/target_exchange.cpp
+++ b/src/shell/gateway/target_exchange.cpp
@@ -38,7 +38,7 @@
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr std::size_t kMaxInlineBodyBytes = 16U << 10U; // larger bodies are sent beside the reading of the answer
 
-std::string_view toView(boost::beast::string_view text)
+std::string_view viewOf(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
@@ -304,7 +304,7 @@
 {
     const auto &fields = m_parser->get();
     const auto field = fields.find(http::field::content_length);
-    return field == fields.end() ? std::nullopt : parseDecimal(toView(field->value()));
+    return field == fields.end() ? std::nullopt : parseDecimal(viewOf(field->value()));
 }
 
 asio::awaitable<std::optional<std::size_t>> target_exchange::read(std::span<char> piece)
--- a/tests/balance/hedge_test.cpp
+++ b/tests/balance/hedge_test.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 using std::chrono::nanoseconds;
 
-constexpr unsigned kCalls = 20'000;
+constexpr unsigned kHedgedCalls = 20'000;
 constexpr nanoseconds kInterval = 2ms;
 constexpr nanoseconds kUsual = 20ms;
 
@@ -40,7 +40,7 @@
 }
 
 // Runs calls one after the other. work: returns the latency of an attempt at the given time. A hedge takes work() again, and the first answer counts.
-template<typename work_time> hedged_run runCalls(pool_rig &rig, unsigned calls, work_time work, std::optional<float> load = std::nullopt)
+template<typename work_time> hedged_run runHedged(pool_rig &rig, unsigned calls, work_time work, std::optional<float> load = std::nullopt)
 {
     hedged_run result;
     for (unsigned i = 0; i < calls; ++i) {
@@ -87,9 +87,9 @@
             return random.below(100) < 3 ? 7 * kUsual : kUsual;
         };
         auto rig = makeRig(0.05);
-        const auto hedged = runCalls(rig, kCalls, work);
+        const auto hedged = runHedged(rig, kHedgedCalls, work);
         CPPUNIT_ASSERT(hedged.percentile(0.99) <= 3 * kUsual);
-        CPPUNIT_ASSERT(hedged.hedges > 0 && hedged.hedges <= kCalls / 20);
+        CPPUNIT_ASSERT(hedged.hedges > 0 && hedged.hedges <= kHedgedCalls / 20);
         CPPUNIT_ASSERT_EQUAL(kUsual, hedged.percentile(0.5));
     }
 
@@ -97,10 +97,10 @@
     void slowSpellDoesNotExceedTheLimit()
     {
         auto rig = makeRig(0.1);
-        const auto hedged = runCalls(rig, kCalls, [](mono_time now) {
+        const auto hedged = runHedged(rig, kHedgedCalls, [](mono_time now) {
             return now.time_since_epoch() % 1s < 300ms ? 4 * kUsual : kUsual;
         });
-        CPPUNIT_ASSERT(hedged.hedges <= kCalls / 10);
+        CPPUNIT_ASSERT(hedged.hedges <= kHedgedCalls / 10);
     }
 
     // Load: the endpoints report twice as many calls as they have slots. Guards against hedges that take slots from first attempts.
@@ -110,8 +110,8 @@
         const auto work = [random = random_source(7)](mono_time) mutable {
             return random.below(100) < 10 ? 7 * kUsual : kUsual;
         };
-        runCalls(rig, 1000, work, 2.0F); // until the pool's load is known
-        const auto hedged = runCalls(rig, 1000, work, 2.0F);
+        runHedged(rig, 1000, work, 2.0F); // until the pool's load is known
+        const auto hedged = runHedged(rig, 1000, work, 2.0F);
         CPPUNIT_ASSERT_EQUAL(0U, hedged.hedges);
     }
 
@@ -121,10 +121,10 @@
         auto rig = makeRig(0.5);
         rig.place.repeats.ratio = 0.02;
         rig.reconfigure(rig.definition);
-        const auto hedged = runCalls(rig, kCalls, [random = random_source(7)](mono_time) mutable {
+        const auto hedged = runHedged(rig, kHedgedCalls, [random = random_source(7)](mono_time) mutable {
             return random.below(100) < 20 ? 7 * kUsual : kUsual;
         });
-        CPPUNIT_ASSERT(hedged.hedges <= kCalls / 50);
+        CPPUNIT_ASSERT(hedged.hedges <= kHedgedCalls / 50);
     }
 
     void hedgesInTimeForTheObjective()
--- a/tests/call/homes_queue_test.cpp
+++ b/tests/call/homes_queue_test.cpp
@@ -10,13 +10,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr mono_time kNow {std::chrono::hours(1)};
+constexpr mono_time kQueueNow {std::chrono::hours(1)};
 constexpr centre_mask kNorth = 1;
 constexpr centre_mask kSouth = 2;
 
-waiting_call waiting(std::uint64_t token, std::chrono::milliseconds remaining, centre_mask centres)
+waiting_call waitingCall(std::uint64_t token, std::chrono::milliseconds remaining, centre_mask centres)
 {
-    return {.token = token, .profile = {.deadline = kNow + remaining, .centres = centres}};
+    return {.token = token, .profile = {.deadline = kQueueNow + remaining, .centres = centres}};
 }
 
 class homes_queue_test : public CppUnit::TestFixture
@@ -31,29 +31,29 @@
     void freedSlotPassesByCallsThatMayNotUseIt()
     {
         call_queue queue(8);
-        queue.push(waiting(1, 100ms, kSouth));
-        queue.push(waiting(2, 200ms, kNorth));
-        queue.push(waiting(3, 300ms, kAllCentres));
+        queue.push(waitingCall(1, 100ms, kSouth));
+        queue.push(waitingCall(2, 200ms, kNorth));
+        queue.push(waitingCall(3, 300ms, kAllCentres));
         const auto isNorth = [](const waiting_call &call) {
             return (call.profile.centres & kNorth) != 0;
         };
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, queue.pop(kNow, 0ms, isNorth)->token);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {3}, queue.pop(kNow, 0ms, isNorth)->token);
-        CPPUNIT_ASSERT(!queue.pop(kNow, 0ms, isNorth));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, queue.pop(kNow, 0ms)->token);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, queue.pop(kQueueNow, 0ms, isNorth)->token);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {3}, queue.pop(kQueueNow, 0ms, isNorth)->token);
+        CPPUNIT_ASSERT(!queue.pop(kQueueNow, 0ms, isNorth));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {1}, queue.pop(kQueueNow, 0ms)->token);
     }
 
     // Guards against a full home that keeps calls from looking for free endpoints elsewhere.
     void callsThatCannotUseASlotHoldNobodyUp()
     {
         call_queue queue(8);
-        queue.push(waiting(1, 100ms, kSouth));
-        CPPUNIT_ASSERT(queue.isFirst(waiting(2, 200ms, kNorth).profile));
-        CPPUNIT_ASSERT(queue.isFirst(waiting(2, 200ms, kAllCentres).profile));
-        CPPUNIT_ASSERT(!queue.isFirst(waiting(2, 200ms, kSouth).profile));
-        CPPUNIT_ASSERT(queue.isFirst(waiting(2, 50ms, kSouth).profile));
-        queue.push(waiting(3, 150ms, kAllCentres));
-        CPPUNIT_ASSERT(!queue.isFirst(waiting(2, 200ms, kNorth).profile));
+        queue.push(waitingCall(1, 100ms, kSouth));
+        CPPUNIT_ASSERT(queue.isFirst(waitingCall(2, 200ms, kNorth).profile));
+        CPPUNIT_ASSERT(queue.isFirst(waitingCall(2, 200ms, kAllCentres).profile));
+        CPPUNIT_ASSERT(!queue.isFirst(waitingCall(2, 200ms, kSouth).profile));
+        CPPUNIT_ASSERT(queue.isFirst(waitingCall(2, 50ms, kSouth).profile));
+        queue.push(waitingCall(3, 150ms, kAllCentres));
+        CPPUNIT_ASSERT(!queue.isFirst(waitingCall(2, 200ms, kNorth).profile));
     }
 };
 
--- a/tests/call/memory_budget_test.cpp
+++ b/tests/call/memory_budget_test.cpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 using use = memory_budget::use;
 
-constexpr mono_time kNow {std::chrono::hours(1)};
+constexpr mono_time kBudgetNow {std::chrono::hours(1)};
 
 class memory_budget_test : public CppUnit::TestFixture
 {
@@ -78,12 +78,12 @@
     void endsTheBodyWithTheLeastProgress()
     {
         const std::vector<body_progress> bodies {
-            {.heldBytes = 10, .receivedBytes = 5, .lastByte = kNow - milliseconds(700)},
-            {.heldBytes = 10, .receivedBytes = 9, .lastByte = kNow - milliseconds(900)},
-            {.heldBytes = 10, .receivedBytes = 2, .lastByte = kNow - milliseconds(900)},
+            {.heldBytes = 10, .receivedBytes = 5, .lastByte = kBudgetNow - milliseconds(700)},
+            {.heldBytes = 10, .receivedBytes = 9, .lastByte = kBudgetNow - milliseconds(900)},
+            {.heldBytes = 10, .receivedBytes = 2, .lastByte = kBudgetNow - milliseconds(900)},
         };
-        CPPUNIT_ASSERT(bodiesToEnd(bodies, 1, kNow) == std::vector<std::size_t> {2});
-        CPPUNIT_ASSERT((bodiesToEnd(bodies, 11, kNow) == std::vector<std::size_t> {2, 1}));
+        CPPUNIT_ASSERT(bodiesToEnd(bodies, 1, kBudgetNow) == std::vector<std::size_t> {2});
+        CPPUNIT_ASSERT((bodiesToEnd(bodies, 11, kBudgetNow) == std::vector<std::size_t> {2, 1}));
     }
 
     // Guards against ending all bodies for one call that waits, and against ending any while none waits.
@@ -92,9 +92,9 @@
         testing::checkProperty("the last body that is ended is needed", [](const std::vector<unsigned char> &sizes, unsigned char wanted) {
             std::vector<body_progress> bodies;
             for (const auto size : sizes) {
-                bodies.push_back({.heldBytes = size, .receivedBytes = size, .lastByte = kNow - milliseconds(500 + size)});
+                bodies.push_back({.heldBytes = size, .receivedBytes = size, .lastByte = kBudgetNow - milliseconds(500 + size)});
             }
-            const auto ended = bodiesToEnd(bodies, wanted, kNow);
+            const auto ended = bodiesToEnd(bodies, wanted, kBudgetNow);
             std::size_t freed = 0;
             for (const auto index : ended) {
                 RC_ASSERT(freed < wanted);
@@ -107,10 +107,10 @@
     void sparesBodiesThatArrive()
     {
         const std::vector<body_progress> bodies {
-            {.heldBytes = 10, .receivedBytes = 5, .lastByte = kNow - milliseconds(499)},
-            {.heldBytes = 0, .receivedBytes = 0, .lastByte = kNow - milliseconds(9000)},
+            {.heldBytes = 10, .receivedBytes = 5, .lastByte = kBudgetNow - milliseconds(499)},
+            {.heldBytes = 0, .receivedBytes = 0, .lastByte = kBudgetNow - milliseconds(9000)},
         };
-        CPPUNIT_ASSERT(bodiesToEnd(bodies, 100, kNow).empty());
+        CPPUNIT_ASSERT(bodiesToEnd(bodies, 100, kBudgetNow).empty());
     }
 };
 
--- a/tests/config/configuration_freshness_test.cpp
+++ b/tests/config/configuration_freshness_test.cpp
@@ -20,10 +20,10 @@
 
 /// Instances that read a store and ask one another under virtual time. The key with which a call is made at an instance of version v is removed by
 /// version v + 1, so each admitted call is checked against the acknowledgement of the next version.
-class fleet
+class proving_fleet
 {
 public:
-    explicit fleet(std::size_t size)
+    explicit proving_fleet(std::size_t size)
         : m_instances(size)
     {
         std::ranges::for_each(m_instances, [](instance &one) {
@@ -172,7 +172,7 @@
     {
         unsigned admitted = 0;
         testing::checkProperty("an admitted call was sent within the bound after the revocation of its key", [&] {
-            fleet instances(3);
+            proving_fleet instances(3);
             const auto any = [](std::size_t count) {
                 return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::size_t>(0, count));
             };
--- a/tests/instance/endpoint_page_test.cpp
+++ b/tests/instance/endpoint_page_test.cpp
@@ -25,6 +25,7 @@
     return page;
 }
 
+/// The page by which instances of a data centre follow their reader.
 class endpoint_page_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(endpoint_page_test);
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -189,10 +189,10 @@
     {
         quota_lender lender(kStart);
         lender.recordInstances(1);
-        lender.setHolders({kFirst});
-        lender.recordStamp(kFirst, {7, 1}, kStart + 1s);
-        CPPUNIT_ASSERT(!lends(lender, kFirst, kStart + 1500ms));
-        CPPUNIT_ASSERT(lends(lender, kFirst, kStart + 1601ms));
+        lender.setHolders({m_first});
+        lender.recordStamp(m_first, {7, 1}, kStart + 1s);
+        CPPUNIT_ASSERT(!lends(lender, m_first, kStart + 1500ms));
+        CPPUNIT_ASSERT(lends(lender, m_first, kStart + 1601ms));
     }
 
     // Guards against two holders of one part.
@@ -200,28 +200,28 @@
     {
         quota_lender lender(kStart);
         lender.recordInstances(2);
-        lender.setHolders({kFirst, kSecond});
+        lender.setHolders({m_first, m_second});
         const auto lent = kStart + 2s;
-        lender.recordStamp(kFirst, {7, 1}, lent);
-        lender.recordStamp(kSecond, {8, 1}, lent);
-        CPPUNIT_ASSERT(lends(lender, kFirst, lent));
-        CPPUNIT_ASSERT(lends(lender, kSecond, lent));
-        lender.setHolders({kThird, kSecond});
-        lender.recordStamp(kThird, {9, 1}, lent + 1s);
-        CPPUNIT_ASSERT(!lends(lender, kThird, lent + 1599ms));
-        CPPUNIT_ASSERT(lends(lender, kThird, lent + 1600ms));
+        lender.recordStamp(m_first, {7, 1}, lent);
+        lender.recordStamp(m_second, {8, 1}, lent);
+        CPPUNIT_ASSERT(lends(lender, m_first, lent));
+        CPPUNIT_ASSERT(lends(lender, m_second, lent));
+        lender.setHolders({m_third, m_second});
+        lender.recordStamp(m_third, {9, 1}, lent + 1s);
+        CPPUNIT_ASSERT(!lends(lender, m_third, lent + 1599ms));
+        CPPUNIT_ASSERT(lends(lender, m_third, lent + 1600ms));
         // A new process of a holder waits as well.
-        lender.recordStamp(kThird, {10, 1}, lent + 1700ms);
-        CPPUNIT_ASSERT(!lends(lender, kThird, lent + 3100ms));
-        lender.recordStamp(kThird, {10, 2}, lent + 3100ms);
-        CPPUNIT_ASSERT(lends(lender, kThird, lent + 3200ms));
+        lender.recordStamp(m_third, {10, 1}, lent + 1700ms);
+        CPPUNIT_ASSERT(!lends(lender, m_third, lent + 3100ms));
+        lender.recordStamp(m_third, {10, 2}, lent + 3100ms);
+        CPPUNIT_ASSERT(lends(lender, m_third, lent + 3200ms));
     }
 
     // Guards against a holder that counts a loan from when the message arrived.
     void delayedLoanEndsWithItsStamp()
     {
         quota_holder holder(7, kSettings, 1);
-        quota_request request {kFirst, 1, 1, {true, true}, {7, nanos(kStart)}, {}};
+        quota_request request {m_first, 1, 1, {true, true}, {7, nanos(kStart)}, {}};
         holder.answer(request, kStart + 1400ms);
         CPPUNIT_ASSERT_EQUAL(1.0, holder.share());
         holder.expire(kStart + 1500ms);
@@ -234,10 +234,10 @@
     void stampOfAnotherProcessIsIgnored()
     {
         quota_holder holder(7, kSettings, 1);
-        holder.answer({kFirst, 1, 1, {true, true}, {6, nanos(kStart)}, {}}, kStart);
-        holder.answer({kFirst, 2, 1, {true, true}, {7, nanos(kStart + 1s)}, {}}, kStart);
-        holder.answer({kFirst, 3, 1, {true, true}, {7, UINT64_MAX}, {}}, kStart);
-        holder.answer({kFirst, 4, 0, {true, true}, {7, nanos(kStart)}, {}}, kStart);
+        holder.answer({m_first, 1, 1, {true, true}, {6, nanos(kStart)}, {}}, kStart);
+        holder.answer({m_first, 2, 1, {true, true}, {7, nanos(kStart + 1s)}, {}}, kStart);
+        holder.answer({m_first, 3, 1, {true, true}, {7, UINT64_MAX}, {}}, kStart);
+        holder.answer({m_first, 4, 0, {true, true}, {7, nanos(kStart)}, {}}, kStart);
         CPPUNIT_ASSERT_EQUAL(0.0, holder.share());
     }
 
@@ -303,9 +303,9 @@
     // Guards against messages in deployments without quotas.
     void withoutQuotasNothingIsSent()
     {
-        quota_exchange exchange(kFirst, kStart);
+        quota_exchange exchange(m_first, kStart);
         exchange.lender().recordInstances(3);
-        exchange.lender().setHolders({kFirst, kSecond});
+        exchange.lender().setHolders({m_first, m_second});
         CPPUNIT_ASSERT(exchange.tick(kStart + 5s).empty());
     }
 
@@ -369,9 +369,9 @@
 
 private:
     static constexpr boot_time kStart {std::chrono::hours(1)};
-    const instance_id kFirst {"a"};
-    const instance_id kSecond {"b"};
-    const instance_id kThird {"c"};
+    const instance_id m_first {"a"};
+    const instance_id m_second {"b"};
+    const instance_id m_third {"c"};
 
     static std::uint64_t nanos(boot_time time)
     {
