--- a/tests/gateway/memory_test.cpp
+++ b/tests/gateway/memory_test.cpp
@@ -16,6 +16,7 @@
 using namespace testing;
 
 constexpr std::size_t kHeldBytes = 60'000; // held whole, with the default of 64 KB
+constexpr std::size_t kStreamedBytes = 300'000;
 constexpr std::size_t kLimit = 1U << 20U;
 constexpr int kCrowd = 12; // more than the limit has memory for
 
@@ -23,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(memory_test);
     CPPUNIT_TEST(unfinishedBodiesAreEndedAsNotRun);
+    CPPUNIT_TEST(unfinishedStreamsAreClosed);
     CPPUNIT_TEST(bodyLargerThanTheLimitIsStreamed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +71,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("not-run overloaded"), callers.front()->read().endingAndReason());
     }
 
+    // Guards against an answer "not run" to a call of which a target has a part.
+    void unfinishedStreamsAreClosed()
+    {
+        const fake_target target(serve);
+        gateway_rig rig({&target});
+        rig.settings.limits.bodyMemoryBytes = kLimit;
+        rig.targetPool.slots = 10 * kCrowd; // the crowd must not exhaust the pool
+        rig.targetPool.maxConnections = 10 * kCrowd;
+        rig.start();
+        auto callers = makeCrowd(rig, "/big", kStreamedBytes);
+        test_caller large(rig.address());
+        large.send(fmt::format("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{}", kHeldBytes, std::string(kHeldBytes, 'y')));
+        CPPUNIT_ASSERT(eventually([&] {
+            const auto unknown = rig.metrics().forThread(0).endings[static_cast<std::size_t>(call_ending::Unknown)].load();
+            return bodiesEnded(rig) > 0 && unknown == bodiesEnded(rig);
+        }));
+    }
+
     // Guards against a budget that refuses a single body inside the route's limit.
     void bodyLargerThanTheLimitIsStreamed()
     {
