--- a/tests/call/memory_budget_test.cpp
+++ b/tests/call/memory_budget_test.cpp
@@ -49,6 +49,7 @@
         memory_budget budget(1000);
         std::atomic<bool> isExceeded {false};
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int i = 0; i < 4; ++i) {
             threads.emplace_back([&] {
                 for (int round = 0; round < 20'000; ++round) {
@@ -91,6 +92,7 @@
     {
         testing::checkProperty("the last body that is ended is needed", [](const std::vector<unsigned char> &sizes, unsigned char wanted) {
             std::vector<body_progress> bodies;
+            bodies.reserve(sizes.size());
             for (const auto size : sizes) {
                 bodies.push_back({.heldBytes = size, .receivedBytes = size, .lastByte = kBudgetNow - milliseconds(500 + size)});
             }
--- a/tests/config/organisation_test.cpp
+++ b/tests/config/organisation_test.cpp
@@ -82,6 +82,7 @@
             const auto keys = *rc::gen::unique<std::vector<std::string>>(rc::gen::nonEmpty<std::string>());
             const auto other = *rc::gen::arbitrary<std::string>();
             std::vector<organisation> rows;
+            rows.reserve(keys.size());
             for (std::size_t i = 0; i < keys.size(); ++i) {
                 rows.push_back(makeOrganisation("o" + std::to_string(i), {keys[i]}));
             }
