--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -391,9 +391,28 @@
 
 store::store(const std::string &host, int port)
 {
-    m_server = std::make_unique<server>(host, port, [this](connection &peer) {
-        serve(peer);
+    addWay(host, port);
+}
+
+std::size_t store::addWay(const std::string &host, int port)
+{
+    m_ways.push_back(std::make_unique<way>());
+    auto &added = *m_ways.back();
+    added.door = std::make_unique<server>(host, port, [this, &added](connection &peer) {
+        serve(peer, added);
     });
+    return m_ways.size() - 1;
+}
+
+void store::cut(std::size_t number, bool isCut)
+{
+    m_ways[number]->isCut = isCut;
+    m_changed.notify_all();
+}
+
+int store::endpointReads(std::size_t number) const
+{
+    return m_ways[number]->endpointReads;
 }
 
 std::uint64_t store::append(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
@@ -438,24 +457,28 @@
     m_isAway = false;
 }
 
-void store::serve(connection &peer)
+void store::serve(connection &peer, way &from)
 {
-    while (!m_isAway) {
+    const auto isUnreachable = [&] {
+        return m_isAway || from.isCut;
+    };
+    while (!isUnreachable()) {
         const auto request = peer.read(60'000, false);
-        if (!request || m_isAway) {
+        if (!request || isUnreachable()) {
             break;
         }
-        const auto text = answer(*request, peer);
+        from.endpointReads += request->start.find("keyed.servers") == std::string::npos ? 0 : 1;
+        const auto text = answer(*request, peer, from);
         if (text.empty() || !peer.send(text) || equalNames(request->field("Connection"), "close")) {
             break;
         }
     }
-    if (m_isAway) {
+    if (isUnreachable()) {
         peer.reset();
     }
 }
 
-std::string store::answer(const message &request, connection &peer)
+std::string store::answer(const message &request, connection &peer, const way &from)
 {
     const auto words = request.start.find(' ');
     const auto path = request.start.substr(words + 1, request.start.rfind(' ') - words - 1);
@@ -489,22 +512,22 @@
                           "{\"items\":[" + items + "],\"hasMore\":" + (hasMore ? "true" : "false") + ",\"endOffset\":" + std::to_string(log.size()) + "}");
     }
     if (path.compare(0, 9, "/log-read") == 0) {
-        const auto from = std::strtoull(queryOf(path, "from").c_str(), nullptr, 10);
+        const auto first = std::strtoull(queryOf(path, "from").c_str(), nullptr, 10);
         const auto until = steady::now() + ms(std::strtol(queryOf(path, "waitMs").c_str(), nullptr, 10));
-        if (from > m_topics[topic].size()) {
+        if (first > m_topics[topic].size()) {
             return httpAnswer(410, era + "Content-Type: application/json\r\n", "{\"firstOffset\":0}");
         }
-        while (m_topics[topic].size() <= from && !m_isAway && steady::now() < until && !peer.isGone()) {
+        while (m_topics[topic].size() <= first && !m_isAway && !from.isCut && steady::now() < until && !peer.isGone()) {
             m_changed.wait_for(lock, ms(50));
         }
-        if (m_isAway) {
+        if (m_isAway || from.isCut) {
             return {};
         }
         const auto &log = m_topics[topic];
         std::string body;
         appendBigEndian(body, log.size(), 8);
         appendBigEndian(body, 0, 8);
-        for (std::size_t i = from; i < log.size() && body.size() < (1U << 20U); ++i) {
+        for (std::size_t i = first; i < log.size() && body.size() < (1U << 20U); ++i) {
             const auto value = log[i].value.value_or("");
             appendBigEndian(body, 1 + log[i].key.size() + value.size(), 4);
             body.push_back(static_cast<char>(log[i].key.size()));
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -120,6 +120,15 @@
 
     std::uint64_t end(const std::string &topic);
 
+    /// Serves at one more address too, as the way of one instance to the store. Returns its number.
+    std::size_t addWay(const std::string &host, int port);
+
+    /// Cuts a way: open connections on it are reset, and so are new ones, until it is mended.
+    void cut(std::size_t way, bool isCut);
+
+    /// Returns how often the entries of the endpoints were read on a way.
+    int endpointReads(std::size_t way) const;
+
     /// Goes away: open connections are reset, and so are new ones.
     void goAway();
 
@@ -135,15 +144,22 @@
     }
 
 private:
-    void serve(connection &peer);
-    std::string answer(const message &request, connection &peer);
+    /// A way to the store.
+    struct way {
+        std::atomic<bool> isCut {false};
+        std::atomic<int> endpointReads {0};
+        std::unique_ptr<server> door;
+    };
+
+    void serve(connection &peer, way &from);
+    std::string answer(const message &request, connection &peer, const way &from);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, std::vector<store_record>> m_topics;
     std::atomic<bool> m_isAway {false};
     std::atomic<int> m_era {1};
-    std::unique_ptr<server> m_server;
+    std::vector<std::unique_ptr<way>> m_ways;
 };
 
 /// One run of a request at an endpoint.
