--- a/review/10/main.cpp
+++ b/review/10/main.cpp
@@ -13,8 +13,8 @@
 constexpr int kDeadlineMs = 2000;
 constexpr int kCutMs = 4000;
 constexpr int kAfterMs = 20;
-constexpr int kEndpoints = 9;
-constexpr int kPerSecond = 150;
+constexpr int kEndpoints = 5;
+constexpr int kPerSecond = 130;
 constexpr int kServesOnMs = 6000;
 constexpr std::size_t kInstances = 4;
 constexpr int kRounds = 5;
@@ -107,6 +107,7 @@
         const auto leaving = endpoints.front();
         endpoints.erase(endpoints.begin());
         const auto &id = leaving->options().id;
+        leaving->leave();
         registry.setState(id, "");
         platform.append("keyed.servers", id, std::nullopt);
         removedAt[id] = now();
--- a/review/8/main.cpp
+++ b/review/8/main.cpp
@@ -1,8 +1,6 @@
 #include "../rig-2/rig.h"
 
 #include <algorithm>
-#include <cmath>
-#include <numbers>
 
 // An endpoint leaves the store without having reported that it drains, while calls wait for a slot. Counts the requests that it still gets later than
 // drainMs after the store acknowledged the removal.
@@ -12,33 +10,28 @@
 using namespace rig;
 
 constexpr int kDrainMs = 3000;
-constexpr int kTimeoutMs = 6000;
-constexpr int kDeadlineMs = 12'000;
-constexpr int kObjectiveMs = 2000;
-constexpr int kWorkMs = 620;
+constexpr int kDeadlineMs = 8000;
+constexpr int kObjectiveMs = 3000;
+constexpr int kWorkMs = 610;
 constexpr int kEndpoints = 8;
 constexpr std::size_t kLeaving = 2;
-constexpr double kUsualPerSecond = 32;
-constexpr double kSwing = 0.55; // of the usual load, in waves of 15 s
-constexpr double kWaveMs = 15'000;
-constexpr double kBurst = 1.5;
-constexpr long kBurstStartMs = 17'750; // just before the second wave is at its highest
-constexpr long kRoundMs = 30'000; // two waves
-constexpr int kRounds = 2;
-constexpr long kBurstMs = 5'000;
+constexpr double kPerSecond = 44; // more than the endpoints can run
+constexpr long kFirstMs = 12'000;
+constexpr long kRoundMs = 12'000;
+constexpr int kRounds = 5;
 constexpr long kServesOnMs = 5'500;
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    setUp(argc > 1 ? argv[1] : "review/8", {{"etela-a", "etela"}, {"etela-b", "etela"}});
-    const bounds limits {.drainMs = kDrainMs, .configMs = 3000, .graceS = 6, .memoryMb = 160, .budgetSlack = 176, .probesPerS = 42};
+    setUp(argc > 1 ? argv[1] : "review/8", {{"dolac", "kontinent"}, {"trnje", "kontinent"}});
+    const bounds limits {.drainMs = kDrainMs, .configMs = 3000, .graceS = 6, .memoryMb = 160, .budgetSlack = 222};
     store platform(host(200, 1), 8642);
     const auto storeAddress = host(200, 1) + ":8642";
     platform.append("keyed.op",
                     "config",
-                    configText(3, {{"r-manifest", "jepu9.example", "/puka111/", "safe", kTimeoutMs, kObjectiveMs, 2, 2, "tilitys"}}, {"tilitys"}, 940));
+                    configText(3, {{"r-claim", "jepu9.example", "/puka111/", "upload", 0, kObjectiveMs, 1, 2, "claims-intake"}}, {"claims-intake"}, 1220));
     ledger runs;
     registration registry(platform);
     std::vector<std::shared_ptr<endpoint>> endpoints;
@@ -47,7 +40,7 @@
     const auto addEndpoint = [&] {
         const auto address = host(20, 10 + made);
         endpoints.push_back(
-            std::make_shared<endpoint>(endpoint_options {"i-" + std::to_string(made), "tilitys", address, 8080, "etela-a", 4, 8, kWorkMs}, runs));
+            std::make_shared<endpoint>(endpoint_options {"i-" + std::to_string(made), "claims-intake", address, 8080, "dolac", 4, 8, kWorkMs}, runs));
         registry.add(endpoints.back());
         ++made;
     };
@@ -56,9 +49,9 @@
     }
     std::vector<std::shared_ptr<instance>> fleet;
     for (int i = 0; i < 3; ++i) {
-        fleet.push_back(std::make_shared<instance>("edge-etela-a-" + std::to_string(i + 1),
+        fleet.push_back(std::make_shared<instance>("edge-dolac-" + std::to_string(i + 1),
                                                    host(1, 1 + i),
-                                                   "etela-a",
+                                                   "dolac",
                                                    storeAddress,
                                                    std::vector {instance::peerOf(host(1, 1)), instance::peerOf(host(1, 2)), instance::peerOf(host(1, 3))},
                                                    limits));
@@ -68,7 +61,6 @@
 
     std::mutex mutex;
     std::vector<reply> replies;
-    std::atomic<double> burst {1};
     std::atomic<bool> isOver {false};
     std::atomic<int> open {0};
     const auto started = now();
@@ -76,13 +68,13 @@
         for (int i = 0; !isOver; ++i) {
             ++open;
             std::thread([&, i] {
-                auto got = call(fleet[static_cast<std::size_t>(i) % fleet.size()]->host, "GET", "/puka111/2f", "jepu9.example", "", kDeadlineMs);
+                auto got = call(
+                    fleet[static_cast<std::size_t>(i) % fleet.size()]->host, "POST", "/puka111/2f", "jepu9.example", std::string(60'000, 'p'), kDeadlineMs);
                 const std::lock_guard lock(mutex);
                 replies.push_back(std::move(got));
                 --open;
             }).detach();
-            const double wave = 1 + kSwing * std::sin(2 * std::numbers::pi * static_cast<double>(now() - started) / kWaveMs);
-            pause(static_cast<int>(1000 / (kUsualPerSecond * wave * burst) * (0.5 + uniform())));
+            pause(static_cast<int>(1000 / (kPerSecond) * (0.5 + uniform())));
         }
     });
     const auto pauseUntil = [&](long at) {
@@ -91,13 +83,8 @@
 
     std::map<std::string, long> removedAt;
     for (int round = 0; round < kRounds; ++round) {
-        const auto burstStart = kBurstStartMs + round * kRoundMs;
-        pauseUntil(burstStart); // traffic as usual; the store is stable
-        if (hasTrouble()) {
-            record("Burst: %.1f times the usual requests.", kBurst);
-            burst = kBurst;
-        }
-        pauseUntil(burstStart + kBurstMs - 500);
+        const auto roundStart = kFirstMs + round * kRoundMs;
+        pauseUntil(roundStart);
         std::vector<std::shared_ptr<endpoint>> leaving;
         if (hasTrouble()) {
             leaving.assign(endpoints.begin(), endpoints.begin() + kLeaving);
@@ -105,15 +92,13 @@
         }
         for (const auto &one : leaving) {
             const auto &id = one->options().id;
+            one->leave();
             registry.setState(id, "");
             platform.append("keyed.servers", id, std::nullopt);
             removedAt[id] = now();
             record("The store has acknowledged that %s is gone; it serves on for %ld ms.", id.c_str(), kServesOnMs);
         }
-        pauseUntil(burstStart + kBurstMs);
-        burst = 1;
-        record("The load is as usual again.");
-        pauseUntil(burstStart + kBurstMs - 500 + kServesOnMs);
+        pauseUntil(roundStart + kServesOnMs);
         for (const auto &one : leaving) {
             one->exit();
             record("%s has exited.", one->options().id.c_str());
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -204,6 +204,12 @@
     /// Ends as a process does: connections close and no answer is sent any more.
     void exit();
 
+    /// From now on its health check says that it leaves; it goes on serving.
+    void leave()
+    {
+        m_isLeaving = true;
+    }
+
     /// Returns the record that it writes to the store.
     std::string entry(const std::string &state);
 
@@ -234,6 +240,7 @@
     std::atomic<int> m_running {0};
     std::atomic<int> m_waiting {0};
     std::atomic<long> m_exitedAt {-1};
+    std::atomic<bool> m_isLeaving {false};
     std::atomic<std::uint64_t> m_sequence {0};
     std::uint64_t m_born;
     std::unique_ptr<server> m_server;
