Pass removals of endpoints on during the grace, and start it only after a real outage

Callers' requests reached an endpoint up to 3.2 s after the store had acknowledged its removal (2.5 s are allowed), sent by instances that were never disturbed, after the reader of their data centre had been cut off from the store.

Cause: the grace for entries that expire while the store is away started after any failed read of one instance, and changesSince() reported the entries kept for it as present, so that all instances of the data centre kept them.

Change: a removal is passed on as one, and each instance decides by its own grace. A failed read counts as an outage only if no answer of the store, to this instance or another one, is known for longer than a data centre needs to replace its reader. An instance that starts gets the kept entries with their removals, and keeps them for the grace.

The tests of the grace are unchanged.

--- a/include/sequoiawharf/endpoint_registry.h
+++ b/include/sequoiawharf/endpoint_registry.h
@@ -48,8 +48,9 @@
 {
 public:
     /// returnGrace: time after the end of a discovery outage during which removed entries are kept, so that endpoints whose entries expired in
-    /// the outage can report again.
-    explicit endpoint_registry(std::chrono::milliseconds returnGrace);
+    /// the outage can report again. maxSilence: a failed read counts as an outage when no answer of discovery is known for longer than this; otherwise
+    /// only this instance's path to discovery was cut.
+    explicit endpoint_registry(std::chrono::milliseconds returnGrace, std::chrono::milliseconds maxSilence = std::chrono::milliseconds(0));
 
     /// Applies a report. A report of an earlier incarnation, or with a lower offset than the known report of the same incarnation, changes
     /// nothing. offset: position of the report in discovery's sequence of records.
@@ -62,18 +63,20 @@
     /// offset are kept.
     void keepOnly(const std::set<std::string> &identities, std::uint64_t asOf, mono_time now);
 
-    /// Applies the records of a page and, when the page is a complete list, removes all other entries.
+    /// Applies the records of a page in order and, when the page is a complete list, removes all other entries. The return grace also follows the first page.
     void applyPage(const discovery_page &page, mono_time now);
 
-    /// Returns the records that changed since the offset from, for another instance; with from 0 all entries. next: offset up to which this
-    /// instance has read discovery's records.
+    /// Returns the records that changed since the offset from, for another instance; with from 0 all entries. The removal of an entry that
+    /// this instance keeps for its grace is among them, since the other instance decides by its own grace. next: offset up to which this instance has
+    /// read discovery's records.
     discovery_page changesSince(std::uint64_t from, std::uint64_t next, mono_time now) const;
 
-    /// Records that discovery cannot be read. Removed entries are kept until the return grace after the outage has passed.
+    /// Records that this instance cannot read discovery. Removed entries are kept until discovery is known to have answered, and for the return grace
+    /// if it was away.
     void discoveryLost(mono_time now);
 
-    /// Records that discovery answered; this ends an outage.
-    void discoveryAnswered(mono_time now);
+    /// Records that discovery answered this instance or another one at a time. An answer that is not newer than the known ones changes nothing.
+    void discoveryAnswered(mono_time asOf);
 
     /// Returns the endpoints of each pool, ordered by address, without removed ones whose grace is over. Resets hasChanged().
     std::map<pool_name, std::vector<endpoint>> endpoints(mono_time now);
@@ -100,18 +103,20 @@
     void dropRemoved(mono_time now);
 
     std::chrono::milliseconds m_returnGrace;
+    std::chrono::milliseconds m_maxSilence;
     std::map<std::string, known_endpoint> m_entries;
 
     /// A dropped endpoint.
     struct removed_endpoint {
         std::uint64_t incarnation = 0;
         std::uint64_t offset = 0;
-        std::uint64_t droppedAtOffset = 0; ///< Offset up to which discovery had been read when the endpoint was dropped.
+        std::uint64_t changedAtOffset = 0; ///< Offset up to which discovery had been read when the endpoint was removed.
     };
 
     std::map<std::string, removed_endpoint> m_removed; ///< Keeps late reports from restoring an endpoint, and passes removals on to other instances.
     std::uint64_t m_nextOffset = 0; ///< One more than the highest offset that was applied.
     bool m_isLost = false;
+    mono_time m_answeredAt {}; ///< Time of discovery's newest known answer; the epoch if there was none.
     mono_time m_returnedAt {}; ///< End of the last outage; the epoch if there was none.
     bool m_changed = true;
 };
--- a/src/discovery/endpoint_registry.cpp
+++ b/src/discovery/endpoint_registry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ranges>
 #include <tuple>
+#include <utility>
 
 namespace sequoiawharf
 {
@@ -24,8 +25,9 @@
 
 } // namespace
 
-endpoint_registry::endpoint_registry(std::chrono::milliseconds returnGrace)
+endpoint_registry::endpoint_registry(std::chrono::milliseconds returnGrace, std::chrono::milliseconds maxSilence)
     : m_returnGrace(returnGrace)
+    , m_maxSilence(maxSilence)
 {
 }
 
@@ -67,6 +69,7 @@
         return;
     }
     found->second.offset = offset;
+    found->second.changedAtOffset = m_nextOffset;
     found->second.removedAt = now;
     m_changed = true;
 }
@@ -86,6 +89,10 @@
 
 void endpoint_registry::applyPage(const discovery_page &page, mono_time now)
 {
+    // An instance that starts cannot tell whether discovery was away just before.
+    if (m_entries.empty() && m_nextOffset == 0) {
+        m_returnedAt = now;
+    }
     std::set<std::string> named;
     std::ranges::for_each(page.records, [&](const discovery_record &record) {
         if (record.entry) {
@@ -106,16 +113,22 @@
     discovery_page page {.records = {}, .next = next, .isSnapshot = from == 0};
     std::ranges::for_each(m_entries, [&](const auto &item) {
         const auto &known = item.second;
-        // A removed endpoint is still reported as an entry until its grace is over.
-        if (known.changedAtOffset >= from) {
+        if (known.changedAtOffset < from) {
+            return;
+        }
+        // An instance that knows no endpoints yet must know the removed ones to keep them for its grace.
+        if (!known.removedAt || page.isSnapshot) {
             auto entry = known.entry;
             entry.warmUp = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(known.warmupEnd - now));
             page.records.push_back({item.first, known.offset, std::move(entry)});
         }
+        if (known.removedAt) {
+            page.records.push_back({item.first, known.offset, std::nullopt});
+        }
     });
     if (!page.isSnapshot) {
         std::ranges::for_each(m_removed, [&](const auto &item) {
-            if (item.second.droppedAtOffset >= from && !m_entries.contains(item.first)) {
+            if (item.second.changedAtOffset >= from && !m_entries.contains(item.first)) {
                 page.records.push_back({item.first, item.second.offset, std::nullopt});
             }
         });
@@ -128,12 +141,15 @@
     m_isLost = true;
 }
 
-void endpoint_registry::discoveryAnswered(mono_time now)
+void endpoint_registry::discoveryAnswered(mono_time asOf)
 {
-    if (m_isLost) {
-        m_isLost = false;
-        m_returnedAt = now;
+    if (asOf <= m_answeredAt) {
+        return;
+    }
+    if (std::exchange(m_isLost, false) && asOf - m_answeredAt > m_maxSilence) {
+        m_returnedAt = asOf;
     }
+    m_answeredAt = asOf;
 }
 
 bool endpoint_registry::inGrace(mono_time now) const
@@ -154,7 +170,7 @@
         auto &removed = m_removed[item->first];
         removed.incarnation = std::max(removed.incarnation, item->second.entry.incarnation);
         removed.offset = std::max(removed.offset, item->second.offset);
-        removed.droppedAtOffset = m_nextOffset;
+        removed.changedAtOffset = std::max(removed.changedAtOffset, item->second.changedAtOffset);
         item = m_entries.erase(item);
     }
 }
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -41,6 +41,13 @@
 constexpr milliseconds kStartupAskTimeout {1500};
 constexpr milliseconds kStartupAskInterval {100};
 
+// While the reader of a data centre cannot read the service, another instance notices this and reads it itself within this time of the reader's last
+// read. Entries expire only after a longer outage of the service.
+milliseconds longestUnreadTime(const reading_times &times)
+{
+    return times.maxAnswerAge + times.askInterval + kRetryInterval;
+}
+
 constexpr std::uint64_t kMaxEndpointPageBytes = 16U << 20U; // 100 times the page of 600 endpoints; a longer one is damaged
 
 } // namespace
@@ -52,7 +59,7 @@
     , m_times(times)
     , m_observer(observer)
     , m_random(seed)
-    , m_registry(kReturnGrace)
+    , m_registry(kReturnGrace, longestUnreadTime(times))
 {
 }
 
@@ -185,7 +192,7 @@
     if (isFullRead) {
         m_fullReadDue = asked + kFullReadInterval / 2 + randomBelow(kFullReadInterval);
     }
-    m_registry.discoveryAnswered(asked);
+    m_registry.discoveryAnswered(asked - page->age);
     m_asOf = std::max(m_asOf, asked - page->age);
     applyPage(page->changes);
     m_observer.onPeerProof(page->configuration, askedAt);
--- a/tests/discovery/endpoint_registry_test.cpp
+++ b/tests/discovery/endpoint_registry_test.cpp
@@ -35,6 +35,9 @@
     CPPUNIT_TEST(aReusedAddressBelongsToTheNewestIncarnation);
     CPPUNIT_TEST(entriesRemovedAfterAnOutageStayForTheGrace);
     CPPUNIT_TEST(entriesNotReportedWithinTheGraceAreDropped);
+    CPPUNIT_TEST(aCutOffInstanceHasNoGrace);
+    CPPUNIT_TEST(othersLearnOfARemovalDuringTheGrace);
+    CPPUNIT_TEST(aStartingInstanceGetsTheEndpointsOfTheGrace);
     CPPUNIT_TEST(recordsAtLowerOffsetsChangeNothing);
     CPPUNIT_TEST(aCompleteListRemovesTheEntriesItOmits);
     CPPUNIT_TEST(repeatedWarmUpWithTheSameEndChangesNothing);
@@ -117,6 +120,52 @@
         CPPUNIT_ASSERT(registry.endpoints(kStart + 11s).empty());
     }
 
+    // Guards against calls to a removed endpoint, because the path to discovery of this instance alone was cut before.
+    void aCutOffInstanceHasNoGrace()
+    {
+        endpoint_registry registry(2s, 2s);
+        registry.discoveryAnswered(kStart);
+        registry.report(entryOf("e", 1), 0, kStart);
+        registry.discoveryLost(kStart + 1s);
+        registry.discoveryAnswered(kStart + 1500ms); // another instance has read it
+        registry.discoveryLost(kStart + 2s);
+        registry.discoveryAnswered(kStart + 3s);
+        registry.remove("e", 1, kStart + 3s);
+        CPPUNIT_ASSERT(registry.endpoints(kStart + 3s).empty());
+    }
+
+    // Guards against instances that keep a removed endpoint, because the one that reads for them is in its grace.
+    void othersLearnOfARemovalDuringTheGrace()
+    {
+        endpoint_registry registry(2s);
+        registry.report(entryOf("e", 1), 0, kStart);
+        registry.report(entryOf("f", 1, "10.0.0.2"), 1, kStart);
+        registry.endpoints(kStart);
+        registry.discoveryLost(kStart + 1s);
+        registry.discoveryAnswered(kStart + 9s);
+        registry.remove("e", 2, kStart + 9s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, registry.endpoints(kStart + 9s)[pool_name("p")].size());
+        const auto changes = registry.changesSince(3, 3, kStart + 9s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, changes.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), changes.records.front().identity);
+        CPPUNIT_ASSERT(!changes.records.front().entry);
+    }
+
+    // Guards against an instance that starts without the endpoints whose entries expired while discovery was away.
+    void aStartingInstanceGetsTheEndpointsOfTheGrace()
+    {
+        endpoint_registry registry(2s);
+        registry.report(entryOf("e", 1), 0, kStart);
+        registry.endpoints(kStart);
+        registry.discoveryLost(kStart + 1s);
+        registry.discoveryAnswered(kStart + 9s);
+        registry.remove("e", 2, kStart + 9s);
+        endpoint_registry starting(2s);
+        starting.applyPage(registry.changesSince(0, 3, kStart + 9s), kStart + 9s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, starting.endpoints(kStart + 10s)[pool_name("p")].size());
+        CPPUNIT_ASSERT(starting.endpoints(kStart + 11s).empty());
+    }
+
     void recordsAtLowerOffsetsChangeNothing()
     {
         endpoint_registry registry(2s);
