Order what is read from the store by era and offset

After the store had come back from a copy that was 8 s old, a removed endpoint got requests until it exited, up to 5.9 s after the store had acknowledged its removal, and what it had at work then was lost to callers.

Cause: records were ordered by their offsets alone. A restored store gives out offsets again, so everything that it says counts as older than what is known until its log has grown beyond the known end. Nothing read the header Store-Era, which tells of a restore.

Change: log_position, era before offset, orders the records of endpoints, the pages between instances, the next reads of both topics, what peers tell of their reads, and evacuations. A read from a position of another era fails as for a dropped history. What the copy still holds brings no removed endpoint back and no leaving one into use. An instance whose registration is lost registers again. A store or an instance that states no era is read as before.

--- a/include/sequoiawharf/endpoint_registry.h
+++ b/include/sequoiawharf/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sequoiawharf/ids.h"
 #include "sequoiawharf/pool_table.h"
 #include "sequoiawharf/time.h"
 
@@ -27,49 +28,55 @@
     std::chrono::milliseconds warmUp {0}; ///< Remaining time for which the endpoint is slow after its start.
 };
 
-/// A report of an endpoint, or its removal, with its offset in discovery's sequence of records.
+/// A report of an endpoint, or its removal, with its position in discovery's log.
 struct discovery_record {
     std::string identity;
-    std::uint64_t offset = 0;
+    log_position position {};
     std::optional<endpoint_entry> entry {}; ///< Empty: the endpoint was removed.
 };
 
-/// Records read from discovery, either all current ones or those after an offset.
+/// Records read from discovery, either all current ones or those from a position on.
 struct discovery_page {
     std::vector<discovery_record> records;
-    std::uint64_t next = 0; ///< Offset from which to read next.
+    log_position next {}; ///< Where to read next. A later era than that of the page before: discovery was restored from an earlier copy.
     bool isSnapshot = false; ///< The records are the complete list: endpoints that are not named were removed.
 };
 
 /// Keeps the endpoints that discovery reports: which of them exist, which are leaving, and which of several at one address is the current one.
-/// Reports may arrive late, twice or not at all. No endpoint is dropped while discovery is unavailable. Owns no socket or clock. Not thread
-/// safe.
+/// Reports may arrive late, twice or not at all. No endpoint is dropped while discovery is unavailable. After discovery was restored from an earlier copy,
+/// its records are news only as far as they were written again or are newer than what is known. Owns no socket or clock. Not thread safe.
 class endpoint_registry
 {
 public:
-    /// returnGrace: time after the end of a discovery outage during which removed entries are kept, so that endpoints whose entries expired in
-    /// the outage can report again. maxSilence: a failed read counts as an outage when no answer of discovery is known for longer than this; otherwise
-    /// only this instance's path to discovery was cut.
+    /// returnGrace: time after the end of a discovery outage, or after a restore, during which removed entries are kept, so that endpoints whose entries
+    /// expired or were lost can report again. maxSilence: a failed read counts as an outage when no answer of discovery is known for longer than this;
+    /// otherwise only this instance's path to discovery was cut.
     explicit endpoint_registry(std::chrono::milliseconds returnGrace, std::chrono::milliseconds maxSilence = std::chrono::milliseconds(0));
 
-    /// Applies a report. A report of an earlier incarnation, or with a lower offset than the known report of the same incarnation, changes
-    /// nothing. offset: position of the report in discovery's sequence of records.
-    void report(const endpoint_entry &entry, std::uint64_t offset, mono_time now);
+    /// Applies a report. A report of an earlier incarnation, or at an earlier position than the known report of the same incarnation, changes nothing.
+    void report(const endpoint_entry &entry, log_position position, mono_time now);
 
-    /// Removes an entry, unless it was reported at a higher offset.
-    void remove(const std::string &identity, std::uint64_t offset, mono_time now);
+    /// Removes an entry, unless it was reported at a later position.
+    void remove(const std::string &identity, log_position position, mono_time now);
 
-    /// Removes all entries but the named ones. identities: the complete list in discovery as of the offset asOf. Entries reported at a higher
-    /// offset are kept.
-    void keepOnly(const std::set<std::string> &identities, std::uint64_t asOf, mono_time now);
+    /// Removes all entries but the named ones. identities: the complete list in discovery as of the position asOf. Entries reported at a later position are
+    /// kept.
+    void keepOnly(const std::set<std::string> &identities, log_position asOf, mono_time now);
 
-    /// Applies the records of a page in order and, when the page is a complete list, removes all other entries. The return grace also follows the first page.
+    /// Applies the records of a page in order and, when the page is a complete list, removes all other entries. The return grace also follows the first page. A
+    /// page of an earlier era than a known one is ignored.
     void applyPage(const discovery_page &page, mono_time now);
 
-    /// Returns the records that changed since the offset from, for another instance; with from 0 all entries. The removal of an entry that
-    /// this instance keeps for its grace is among them, since the other instance decides by its own grace. next: offset up to which this instance has
-    /// read discovery's records.
-    discovery_page changesSince(std::uint64_t from, std::uint64_t next, mono_time now) const;
+    /// Returns the records that changed since the position from, for another instance; with the first position all entries. The removal of an entry that
+    /// this instance keeps for its grace is among them, since the other instance decides by its own grace. next: position up to which this instance
+    /// has read discovery's records.
+    discovery_page changesSince(log_position from, log_position next, mono_time now) const;
+
+    /// Returns the era of discovery's log as of the newest page; 0 before the first one.
+    std::uint64_t era() const
+    {
+        return m_next.era;
+    }
 
     /// Records that this instance cannot read discovery. Removed entries are kept until discovery is known to have answered, and for the return grace
     /// if it was away.
@@ -93,12 +100,14 @@
 private:
     struct known_endpoint {
         endpoint_entry entry;
-        std::uint64_t offset = 0;
-        std::uint64_t changedAtOffset = 0; ///< Offset up to which discovery had been read when the entry last changed.
+        log_position position;
+        log_position changedAt; ///< Position up to which discovery had been read when the entry last changed.
         mono_time warmupEnd {}; ///< End of the warm-up.
         std::optional<mono_time> removedAt; ///< Time of removal. The entry is dropped once the grace of an outage is over.
     };
 
+    void enterEra(const discovery_page &page, mono_time now);
+    bool isOfCopy(log_position position, log_position known) const;
     bool inGrace(mono_time now) const;
     void dropRemoved(mono_time now);
 
@@ -109,12 +118,14 @@
     /// A dropped endpoint.
     struct removed_endpoint {
         std::uint64_t incarnation = 0;
-        std::uint64_t offset = 0;
-        std::uint64_t changedAtOffset = 0; ///< Offset up to which discovery had been read when the endpoint was removed.
+        log_position position;
+        log_position changedAt; ///< Position up to which discovery had been read when the endpoint was removed.
     };
 
     std::map<std::string, removed_endpoint> m_removed; ///< Keeps late reports from restoring an endpoint, and passes removals on to other instances.
-    std::uint64_t m_nextOffset = 0; ///< One more than the highest offset that was applied.
+    log_position m_next; ///< Position after the latest one that was applied.
+    log_position
+        m_eraStart; ///< End of the log in the first page after a restore: earlier records of its era may be of the copy. The first position: no restore.
     bool m_isLost = false;
     mono_time m_answeredAt {}; ///< Time of discovery's newest known answer; the epoch if there was none.
     mono_time m_returnedAt {}; ///< End of the last outage; the epoch if there was none.
--- a/include/sequoiawharf/ids.h
+++ b/include/sequoiawharf/ids.h
@@ -46,6 +46,28 @@
 /// Offset of a record in the platform's log.
 using log_offset = std::uint64_t;
 
+/// Position in a log that may be restored from an earlier copy, after which it gives out offsets again. Every position after a restore is later than all
+/// positions before it.
+struct log_position {
+    constexpr log_position() = default;
+
+    /// A position in a log that states no era. Not explicit: such logs are read by offsets alone.
+    constexpr log_position(log_offset at) // NOLINT(google-explicit-constructor,hicpp-explicit-conversions)
+        : offset(at)
+    {
+    }
+    constexpr log_position(std::uint64_t logEra, log_offset at)
+        : era(logEra)
+        , offset(at)
+    {
+    }
+
+    std::uint64_t era = 0; ///< Grows with each restore; 0: the log states none.
+    log_offset offset = 0;
+
+    friend constexpr auto operator<=>(const log_position &, const log_position &) = default;
+};
+
 /// Version of a configuration: the log offset of the accepted record that created it. 0 is the empty configuration.
 using config_version = std::uint64_t;
 
--- a/src/discovery/endpoint_registry.cpp
+++ b/src/discovery/endpoint_registry.cpp
@@ -23,6 +23,11 @@
     return key(a) == key(b);
 }
 
+log_position after(log_position position)
+{
+    return {position.era, position.offset + 1};
+}
+
 } // namespace
 
 endpoint_registry::endpoint_registry(std::chrono::milliseconds returnGrace, std::chrono::milliseconds maxSilence)
@@ -31,19 +36,24 @@
 {
 }
 
-void endpoint_registry::report(const endpoint_entry &entry, std::uint64_t offset, mono_time now)
+void endpoint_registry::report(const endpoint_entry &entry, log_position position, mono_time now)
 {
-    m_nextOffset = std::max(m_nextOffset, offset + 1);
+    m_next = std::max(m_next, after(position));
     const auto gone = m_removed.find(entry.identity);
-    if (gone != m_removed.end() && (entry.incarnation < gone->second.incarnation || offset < gone->second.offset)) {
-        return;
+    if (gone != m_removed.end()) {
+        const auto &removed = gone->second;
+        const bool mayPrecedeRemoval = entry.incarnation == removed.incarnation && isOfCopy(position, removed.position);
+        if (entry.incarnation < removed.incarnation || position < removed.position || mayPrecedeRemoval) {
+            return;
+        }
     }
     auto &known = m_entries[entry.identity];
     const bool isNew = known.entry.identity.empty();
-    const bool isOldIncarnation = !isNew && entry.incarnation < known.entry.incarnation;
-    const bool isOlderReport = !isNew && entry.incarnation == known.entry.incarnation && offset < known.offset;
-    if (isOldIncarnation || isOlderReport) {
-        return;
+    if (!isNew && entry.incarnation <= known.entry.incarnation) {
+        const bool isOlderOfCopy = isOfCopy(position, known.position) && (known.removedAt || entry.sequence < known.entry.sequence);
+        if (entry.incarnation < known.entry.incarnation || position < known.position || isOlderOfCopy) {
+            return;
+        }
     }
     const bool isNewIncarnation = isNew || entry.incarnation != known.entry.incarnation;
     const auto warmupEnd = entry.warmUp.count() > 0 ? now + entry.warmUp : mono_time {};
@@ -53,32 +63,40 @@
     }
     const bool isChanged = isNewIncarnation || known.removedAt.has_value() || !routesIdentically(known.entry, entry);
     if (isChanged) {
-        known.changedAtOffset = m_nextOffset;
+        known.changedAt = m_next;
     }
     m_changed = m_changed || isChanged;
     known.entry = entry;
-    known.offset = std::max(known.offset, offset);
+    known.position = std::max(known.position, position);
     known.removedAt.reset();
 }
 
-void endpoint_registry::remove(const std::string &identity, std::uint64_t offset, mono_time now)
+void endpoint_registry::remove(const std::string &identity, log_position position, mono_time now)
 {
-    m_nextOffset = std::max(m_nextOffset, offset + 1);
+    m_next = std::max(m_next, after(position));
     const auto found = m_entries.find(identity);
-    if (found == m_entries.end() || found->second.offset > offset || found->second.removedAt) {
+    if (found == m_entries.end()) {
+        // Another instance may have taken the endpoint for present since the first removal.
+        if (const auto gone = m_removed.find(identity); gone != m_removed.end() && gone->second.position < position) {
+            gone->second.position = position;
+            gone->second.changedAt = m_next;
+        }
         return;
     }
-    found->second.offset = offset;
-    found->second.changedAtOffset = m_nextOffset;
+    if (found->second.position > position || found->second.removedAt) {
+        return;
+    }
+    found->second.position = position;
+    found->second.changedAt = m_next;
     found->second.removedAt = now;
     m_changed = true;
 }
 
-void endpoint_registry::keepOnly(const std::set<std::string> &identities, std::uint64_t asOf, mono_time now)
+void endpoint_registry::keepOnly(const std::set<std::string> &identities, log_position asOf, mono_time now)
 {
     std::vector<std::string> gone;
     std::ranges::for_each(m_entries, [&](const auto &item) {
-        if (!identities.contains(item.first) && item.second.offset <= asOf) {
+        if (!identities.contains(item.first) && item.second.position <= asOf) {
             gone.push_back(item.first);
         }
     });
@@ -89,47 +107,66 @@
 
 void endpoint_registry::applyPage(const discovery_page &page, mono_time now)
 {
-    // An instance that starts cannot tell whether discovery was away just before.
-    if (m_entries.empty() && m_nextOffset == 0) {
-        m_returnedAt = now;
+    if (page.next.era < m_next.era) {
+        return;
     }
+    enterEra(page, now);
     std::set<std::string> named;
     std::ranges::for_each(page.records, [&](const discovery_record &record) {
         if (record.entry) {
             named.insert(record.identity);
-            report(*record.entry, record.offset, now);
+            report(*record.entry, record.position, now);
         } else {
-            remove(record.identity, record.offset, now);
+            remove(record.identity, record.position, now);
         }
     });
     if (page.isSnapshot) {
         keepOnly(named, page.next, now);
     }
-    m_nextOffset = std::max(m_nextOffset, page.next);
+    m_next = std::max(m_next, page.next);
+}
+
+void endpoint_registry::enterEra(const discovery_page &page, mono_time now)
+{
+    const bool isFirst = m_next == log_position {};
+    // An instance that starts cannot tell whether discovery was away just before.
+    if (isFirst || page.next.era > m_next.era) {
+        m_returnedAt = now;
+    }
+    if (!isFirst && page.next.era > m_next.era) {
+        m_eraStart = page.next;
+    }
+}
+
+// Returns whether a record may come from the copy from which discovery was restored after the known record had been read. Such a record may be older than the
+// known one.
+bool endpoint_registry::isOfCopy(log_position position, log_position known) const
+{
+    return known.era < position.era && position < m_eraStart;
 }
 
-discovery_page endpoint_registry::changesSince(std::uint64_t from, std::uint64_t next, mono_time now) const
+discovery_page endpoint_registry::changesSince(log_position from, log_position next, mono_time now) const
 {
-    discovery_page page {.records = {}, .next = next, .isSnapshot = from == 0};
+    discovery_page page {.records = {}, .next = next, .isSnapshot = from == log_position {}};
     std::ranges::for_each(m_entries, [&](const auto &item) {
         const auto &known = item.second;
-        if (known.changedAtOffset < from) {
+        if (known.changedAt < from) {
             return;
         }
         // An instance that knows no endpoints yet must know the removed ones to keep them for its grace.
         if (!known.removedAt || page.isSnapshot) {
             auto entry = known.entry;
             entry.warmUp = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(known.warmupEnd - now));
-            page.records.push_back({item.first, known.offset, std::move(entry)});
+            page.records.push_back({item.first, known.position, std::move(entry)});
         }
         if (known.removedAt) {
-            page.records.push_back({item.first, known.offset, std::nullopt});
+            page.records.push_back({item.first, known.position, std::nullopt});
         }
     });
     if (!page.isSnapshot) {
         std::ranges::for_each(m_removed, [&](const auto &item) {
-            if (item.second.changedAtOffset >= from && !m_entries.contains(item.first)) {
-                page.records.push_back({item.first, item.second.offset, std::nullopt});
+            if (item.second.changedAt >= from && !m_entries.contains(item.first)) {
+                page.records.push_back({item.first, item.second.position, std::nullopt});
             }
         });
     }
@@ -169,8 +206,8 @@
         }
         auto &removed = m_removed[item->first];
         removed.incarnation = std::max(removed.incarnation, item->second.entry.incarnation);
-        removed.offset = std::max(removed.offset, item->second.offset);
-        removed.changedAtOffset = std::max(removed.changedAtOffset, item->second.changedAtOffset);
+        removed.position = std::max(removed.position, item->second.position);
+        removed.changedAt = std::max(removed.changedAt, item->second.changedAt);
         item = m_entries.erase(item);
     }
 }
@@ -186,12 +223,12 @@
 {
     dropRemoved(now);
     m_changed = false;
-    // An address that was reassigned belongs to the entry that is not removed, with the highest incarnation, then the highest offset.
+    // An address that was reassigned belongs to the entry that is not removed, with the highest incarnation, then the latest position.
     std::map<host_port, const known_endpoint *> owners;
     std::ranges::for_each(m_entries | std::views::values, [&](const known_endpoint &known) {
         auto &owner = owners[known.entry.address];
         const auto precedence = [](const known_endpoint &one) {
-            return std::tuple(!one.removedAt.has_value(), one.entry.incarnation, one.offset);
+            return std::tuple(!one.removedAt.has_value(), one.entry.incarnation, one.position);
         };
         if (owner == nullptr || precedence(*owner) < precedence(known)) {
             owner = &known;
--- a/src/shell/instance/configuration_source.h
+++ b/src/shell/instance/configuration_source.h
@@ -41,7 +41,7 @@
 /// The data centres that the operators have evacuated.
 struct evacuation_state {
     std::set<data_centre_id> centres;
-    log_offset asOf = 0; ///< All records before this offset have been read; 0: not known.
+    log_position asOf {}; ///< All records before this position have been read; the first position: not known.
 
     friend bool operator==(const evacuation_state &, const evacuation_state &) = default;
 };
@@ -84,9 +84,9 @@
     /// Applies changes that a peer passed on. Returns whether a newer configuration is in force now.
     virtual bool applyPeer(const change_set &changes) = 0;
 
-    /// Records that a peer which follows the service has read all records before an offset, and that these hold no version above the given one. A source
-    /// that has this version starts its next read at the offset.
-    virtual void recordPosition(config_version version, log_offset next) = 0;
+    /// Records that a peer which follows the service has read all records before a position, and that these hold no version above the given one. A source
+    /// that has this version starts its next read there.
+    virtual void recordPosition(config_version version, log_position next) = 0;
 
     /// Returns the evacuated data centres. A source whose service has no evacuations returns an unknown state.
     virtual evacuation_state evacuations() const
@@ -120,8 +120,8 @@
     /// Returns the changes that an instance at the given version lacks.
     virtual change_set changesSince(config_version version) const = 0;
 
-    /// Returns the offset up to which this source has read the service's records; 0: nothing.
-    virtual log_offset asOf() const = 0;
+    /// Returns the position up to which this source has read the service's records; the first position: nothing.
+    virtual log_position asOf() const = 0;
 
     /// Returns the state in force as the text of a state record, or nothing while the state is not known.
     virtual std::optional<std::string> stateText() const = 0;
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -307,7 +307,7 @@
     }
     // An instance of an earlier build tells a position, but not the evacuations before it.
     const bool tellsEvacuations = told.evacuations && told.evacuations->asOf >= told.next;
-    if (told.isFollowed && told.next > 0 && tellsEvacuations) {
+    if (told.isFollowed && told.next != log_position {} && tellsEvacuations) {
         m_feed->recordPosition(told.version, told.next);
     }
     if (told.version > m_feed->current()->version) {
@@ -325,6 +325,13 @@
     m_feed->reconnect();
 }
 
+// What this instance has registered may be lost.
+void control_plane::onServiceRestored()
+{
+    m_feed->reconnect();
+    m_listDue.notify();
+}
+
 void control_plane::publishStatus(mono_time now)
 {
     m_node.setPoolTotals(poolTotals(now));
@@ -490,7 +497,7 @@
         const auto now = monoNow();
         m_membersSettledAt = m_membersSettledAt.value_or(now + kMembersSettleTime);
         updateMembers(now);
-        co_await pauseFor(listPause(listed.has_value(), reads));
+        co_await m_listDue.wait(monoNow() + listPause(listed.has_value(), reads));
     }
 }
 
--- a/src/shell/instance/control_plane.h
+++ b/src/shell/instance/control_plane.h
@@ -84,13 +84,13 @@
     {
         return m_config->routes.homesOf(host);
     }
-    /// Returns the page that answers another instance's request for the changes of endpoints since an offset; empty when the pool table names the
+    /// Returns the page that answers another instance's request for the changes of endpoints since a position; empty when the pool table names the
     /// endpoints.
-    std::string endpointPage(log_offset from, mono_time now)
+    std::string endpointPage(log_position from, mono_time now)
     {
         peer_configuration configuration {
             .version = m_feed->current()->version, .isFollowed = m_feed->isFollowing(), .next = m_feed->asOf(), .proofAge = proofAge()};
-        if (auto evacuations = m_feed->evacuations(); evacuations.asOf > 0) {
+        if (auto evacuations = m_feed->evacuations(); evacuations.asOf != log_position {}) {
             configuration.evacuations = std::move(evacuations);
         }
         return m_endpoints ? m_endpoints->page(from, configuration, now) : std::string {};
@@ -117,6 +117,7 @@
     void onPeerProof(const peer_configuration &told, boot_time askedAt) override;
     void onReaderUnavailable() override;
     void onServiceRecovered() override;
+    void onServiceRestored() override;
     std::shared_ptr<const configuration> current() const override;
     change_set changesSince(config_version version) const override;
     bool apply(const change_set &changes) override;
@@ -150,6 +151,7 @@
     rcu_snapshot<routing> m_routings;
     std::shared_ptr<const routing> m_routing; ///< The newest published one.
     std::unique_ptr<instance_list_client> m_list;
+    async_signal m_listDue; ///< Ends the pause before the next read of the list.
     configuration_freshness m_freshness;
     boot_time m_proofExpectedAt; ///< The first read of the configuration has had time to end.
     mono_time m_proofQueryDue {}; ///< Earliest time of the next query to another instance for a younger proof.
--- a/src/shell/instance/discovery_client.h
+++ b/src/shell/instance/discovery_client.h
@@ -13,7 +13,7 @@
 
 /// Error of a read of discovery.
 struct discovery_fault {
-    bool isDropped = false; ///< The service no longer holds the requested records; all entries must be read.
+    bool isDropped = false; ///< The service does not hold the requested records, or no longer does; all entries must be read.
     std::string detail;
 };
 
@@ -28,8 +28,9 @@
     /// Reads all entries.
     virtual boost::asio::awaitable<result> whole() = 0;
 
-    /// Reads the registrations and removals from an offset on. Fails with isDropped when the service no longer holds them.
-    virtual boost::asio::awaitable<result> since(log_offset from) = 0;
+    /// Reads the registrations and removals from a position on. Fails with isDropped when the service no longer holds them, or was restored from an earlier
+    /// copy since.
+    virtual boost::asio::awaitable<result> since(log_position from) = 0;
 };
 
 } // namespace sequoiawharf
--- a/src/shell/instance/endpoint_feed.cpp
+++ b/src/shell/instance/endpoint_feed.cpp
@@ -175,10 +175,10 @@
         m_lastAsked = other;
         m_fullReadDue = std::min(m_fullReadDue, asked + randomBelow(kFullReadAfterReaderChange));
     }
-    const bool isFullRead = !m_next || asked >= m_fullReadDue;
+    const bool isFullRead = m_mustReadAll || asked >= m_fullReadDue;
     http_request request;
     request.server = std::move(other);
-    request.path = endpointPagePath(isFullRead ? 0 : *m_next);
+    request.path = endpointPagePath(isFullRead ? log_position {} : m_next);
     request.maxAnswerBytes = kMaxEndpointPageBytes;
     const auto askedAt = bootNow();
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
@@ -186,7 +186,8 @@
         co_return std::nullopt;
     }
     const auto page = parseEndpointPage(answer->body);
-    if (!page || page->age > m_times.maxAnswerAge) {
+    // An instance that does not know yet that the service was restored has nothing to tell.
+    if (!page || page->age > m_times.maxAnswerAge || page->changes.next.era < m_registry.era()) {
         co_return std::nullopt;
     }
     if (isFullRead) {
@@ -209,14 +210,14 @@
 // Does not go through askInstance(), which would request all entries from each instance that is asked.
 asio::awaitable<void> endpoint_feed::askNextForProof()
 {
-    if (m_others.empty() || !m_next) {
+    if (m_others.empty() || m_mustReadAll) {
         m_isAskingForProof = false;
         co_return;
     }
     m_proofAskedIndex = (m_proofAskedIndex + 1) % m_others.size();
     http_request request;
     request.server = m_others[m_proofAskedIndex];
-    request.path = endpointPagePath(*m_next);
+    request.path = endpointPagePath(m_next);
     request.maxAnswerBytes = kMaxEndpointPageBytes;
     const auto askedAt = bootNow();
     const auto answer = co_await fetch(std::move(request), kAskTimeout);
@@ -237,15 +238,14 @@
     const auto asked = monoNow();
     ++m_reads;
     discovery_client::result page;
-    if (m_next) {
-        page = co_await m_client->since(*m_next);
-    } else {
+    if (m_mustReadAll) {
         page = co_await m_client->whole();
+    } else {
+        page = co_await m_client->since(m_next);
     }
     if (!page) {
-        const bool wasReading = m_next.has_value();
-        m_next.reset();
-        if (page.error().isDropped && wasReading) {
+        const bool wasReadingChanges = !std::exchange(m_mustReadAll, true);
+        if (page.error().isDropped && wasReadingChanges) {
             co_return co_await readService();
         }
         if (!m_hasFailed) {
@@ -273,8 +273,22 @@
 
 void endpoint_feed::applyPage(const discovery_page &page)
 {
-    m_registry.applyPage(page, monoNow());
-    m_next = std::max(m_next.value_or(0), page.next);
+    const auto now = monoNow();
+    const auto eraBefore = m_registry.era();
+    m_registry.applyPage(page, now);
+    m_next = std::max(m_next, page.next);
+    m_mustReadAll = false;
+    if (m_isKnown && page.next.era > eraBefore) {
+        // Instances that have read the service at different times since the restore know different changes.
+        m_fullReadDue = std::min(m_fullReadDue, now + kReturnGrace - randomBelow(kReturnGrace / 4));
+        logTo(log_level::Warning,
+              kFeedPart,
+              "Discovery was restored from an earlier copy. era={} before={} endpoints={}",
+              page.next.era,
+              eraBefore,
+              m_registry.size());
+        m_observer.onServiceRestored();
+    }
     if (!std::exchange(m_isKnown, true)) {
         m_known.notify();
     }
@@ -288,21 +302,21 @@
     }
     auto endpoints = m_registry.endpoints(now);
     const auto ageMs = std::chrono::duration_cast<milliseconds>(now - m_asOf).count();
-    logTo(log_level::Info, kFeedPart, "The endpoints changed. known={} read_to={} age_ms={}", m_registry.size(), m_next.value_or(0), ageMs);
+    logTo(log_level::Info, kFeedPart, "The endpoints changed. known={} read_to={} age_ms={}", m_registry.size(), m_next.offset, ageMs);
     m_observer.onEndpoints(std::move(endpoints));
 }
 
-std::string endpoint_feed::page(log_offset from, const peer_configuration &configuration, mono_time now)
+std::string endpoint_feed::page(log_position from, const peer_configuration &configuration, mono_time now)
 {
     // While nothing is known, the age exceeds the limit, so that the asking instance discards the page.
     const auto age = m_asOf == mono_time {} ? m_times.maxAnswerAge * 2 : std::chrono::duration_cast<milliseconds>(now - m_asOf);
-    const auto next = m_next.value_or(0);
-    const endpoint_page page {.changes = {.records = {}, .next = next, .isSnapshot = from == 0}, .age = age, .configuration = configuration};
-    if (from != 0) {
-        return formatEndpointPage(page, formatEndpointRecords(m_registry.changesSince(from, next, now).records));
+    const bool isSnapshot = from == log_position {};
+    const endpoint_page page {.changes = {.records = {}, .next = m_next, .isSnapshot = isSnapshot}, .age = age, .configuration = configuration};
+    if (!isSnapshot) {
+        return formatEndpointPage(page, formatEndpointRecords(m_registry.changesSince(from, m_next, now).records, m_next.era));
     }
-    if (std::exchange(m_allRecordsNext, next) != next) {
-        m_allRecords = formatEndpointRecords(m_registry.changesSince(0, next, now).records);
+    if (std::exchange(m_allRecordsNext, m_next) != m_next) {
+        m_allRecords = formatEndpointRecords(m_registry.changesSince(from, m_next, now).records, m_next.era);
     }
     return formatEndpointPage(page, m_allRecords);
 }
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -45,8 +45,9 @@
     /// Waits until the endpoints are known, but not longer than until the given time. Precondition: the object outlives the wait.
     boost::asio::awaitable<void> waitUntilKnown(mono_time until);
 
-    /// Returns the page that answers another instance: the changes from an offset on, or all entries when from is 0, and the configuration's version.
-    std::string page(log_offset from, const peer_configuration &configuration, mono_time now);
+    /// Returns the page that answers another instance: the changes from a position on, or all entries when from is the first one, and the
+    /// configuration's version.
+    std::string page(log_position from, const peer_configuration &configuration, mono_time now);
 
     /// Returns the number of reads of the service by this instance.
     std::uint64_t reads() const
@@ -81,14 +82,15 @@
     std::size_t m_askedIndex = 0; ///< Index of the instance asked last in turn, while the service does not answer.
     std::size_t m_proofAskedIndex = 0; ///< Index of the instance that askForProof() asked last.
     bool m_isAskingForProof = false;
-    std::optional<log_offset> m_next; ///< Offset of the next read; empty when all entries must be read.
+    log_position m_next; ///< Where the next read starts; all records before it are known.
+    bool m_mustReadAll = true; ///< The next read requests all entries.
     mono_time m_asOf {}; ///< The known endpoints are at least as new as this time.
     mono_time m_ownReadDue {}; ///< Earliest time of this instance's next read of the service.
     host_port m_lastAsked; ///< The instance that was asked last; another one triggers a read of all entries.
     mono_time m_fullReadDue = mono_time::max(); ///< Next request for all entries: two readers may have reported changes in different order.
     std::uint64_t m_reads = 0;
     std::string m_allRecords; ///< All entries as formatted for other instances, which may all request them at the same time.
-    std::optional<log_offset> m_allRecordsNext; ///< Value of m_next with which m_allRecords was made.
+    std::optional<log_position> m_allRecordsNext; ///< Value of m_next with which m_allRecords was made.
     async_signal m_known; ///< Notified when m_isKnown becomes true.
     bool m_isKnown = false;
     bool m_hasFailed = false; ///< The last read of the service failed.
--- a/src/shell/instance/endpoint_page.h
+++ b/src/shell/instance/endpoint_page.h
@@ -5,6 +5,8 @@
 #include "src/shell/instance/configuration_source.h"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,7 +18,7 @@
 struct peer_configuration {
     config_version version = 0;
     bool isFollowed = false; ///< The answering instance follows configurations itself.
-    log_offset next = 0; ///< Where the instance's next read of configurations starts; 0: not known.
+    log_position next {}; ///< Where the instance's next read of configurations starts; the first position: not known.
     std::optional<std::chrono::milliseconds> proofAge {}; ///< Age of the instance's proof that the version is the newest; nothing: it has none.
     std::optional<evacuation_state> evacuations {}; ///< Nothing: the answering instance does not know, or is of an earlier build.
 
@@ -32,11 +34,15 @@
 
 inline constexpr std::string_view kEndpointPage = "/endpoints";
 
-/// Returns the path that requests the changes from an offset on, or all entries when from is 0. Thread safe.
-std::string endpointPagePath(std::uint64_t from);
+/// Returns the path that requests the changes from a position on, or all entries when from is the first one. Thread safe.
+std::string endpointPagePath(log_position from);
 
-/// Returns the records in the form that formatEndpointPage() takes, compressed when they are many. Thread safe.
-std::string formatEndpointRecords(const std::vector<discovery_record> &records);
+/// Returns the position that a path requests, or nothing when it is malformed. query: of the path. Thread safe.
+std::optional<log_position> parseEndpointPageQuery(const std::map<std::string, std::string> &query);
+
+/// Returns the records in the form that formatEndpointPage() takes, compressed when they are many. era: of the page on which they are sent; builds that
+/// know no eras read a page whose records are all of it. Thread safe.
+std::string formatEndpointRecords(const std::vector<discovery_record> &records, std::uint64_t era = 0);
 
 /// Returns the text of a page: a line of JSON with everything but the records, and the records. page.changes.records is ignored; records: the result
 /// of formatEndpointRecords(). Thread safe.
--- a/src/shell/instance/endpoint_source.h
+++ b/src/shell/instance/endpoint_source.h
@@ -33,6 +33,11 @@
 
     /// Called when the service answers again after a failed read.
     virtual void onServiceRecovered() = 0;
+
+    /// Called when the service was restored from an earlier copy, so that records are lost.
+    virtual void onServiceRestored()
+    {
+    }
 };
 
 } // namespace sequoiawharf
--- a/src/shell/instance/instance.cpp
+++ b/src/shell/instance/instance.cpp
@@ -215,13 +215,12 @@
         co_return page_answer {200, "application/json", *text};
     });
     m_pages.add(std::string(kEndpointPage), [this](const page_request &request) -> asio::awaitable<page_answer> {
-        const auto from = request.query.find("from");
-        const auto offset = from == request.query.end() ? std::nullopt : parseDecimal(from->second);
-        if (!offset) {
-            co_return page_answer {400, "text/plain", "from must be an offset\n"};
+        const auto from = parseEndpointPageQuery(request.query);
+        if (!from) {
+            co_return page_answer {400, "text/plain", "from must be an offset, and era a number\n"};
         }
         co_await m_plane.waitForEndpoints(monoNow() + kEndpointWait);
-        co_return page_answer {200, "application/octet-stream", m_plane.endpointPage(*offset, monoNow())};
+        co_return page_answer {200, "application/octet-stream", m_plane.endpointPage(*from, monoNow())};
     });
     m_pages.add("/events", [this](const page_request &request) -> asio::awaitable<page_answer> {
         co_return m_events.page(request);
@@ -264,7 +263,7 @@
     instance_summary result;
     result.process = m_process;
     result.version = m_plane.feed().current()->version;
-    result.asOf = m_plane.feed().asOf();
+    result.asOf = m_plane.feed().asOf().offset;
     result.ready = m_readiness.ready;
     result.reason = m_readiness.reason;
     result.callsInFlight = m_gateway.callsInFlight();
--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -84,6 +84,7 @@
     const auto maxAnswerBytes = request.maxAnswerBytes;
     const auto stallTimeout = request.stallTimeout;
     const auto progress = std::move(request.progress);
+    const auto wantedField = request.wantedField;
     const auto message = toBeast(std::move(request), m_server, keepOpen);
     boost::system::error_code error;
     co_await http::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, error));
@@ -97,7 +98,11 @@
         co_return tl::unexpected(http_error::Lost);
     }
     m_isOpen = keepOpen && parser.get().keep_alive();
-    co_return http_answer {parser.get().result_int(), std::move(parser.get().body())};
+    http_answer answer {parser.get().result_int(), std::move(parser.get().body())};
+    if (!wantedField.empty()) {
+        answer.wantedField = parser.get()[beast::string_view(wantedField.data(), wantedField.size())];
+    }
+    co_return answer;
 }
 
 // Reads an answer part by part. With a stall timeout, each part that arrives extends the time. Returns whether the answer is complete and its status valid.
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sequoiawharf
 {
@@ -36,12 +37,14 @@
     /// Set: the timeout of the request bounds the time until the first part of the answer, and this one the time between two parts.
     std::optional<std::chrono::milliseconds> stallTimeout {};
     std::shared_ptr<http_progress> progress {}; ///< Updated while the answer arrives; may be null.
+    std::string_view wantedField {}; ///< Name of the header field to return with the answer, of static lifetime; empty: none.
 };
 
 /// A complete HTTP answer.
 struct http_answer {
     unsigned status = 0;
     std::string body;
+    std::string wantedField {}; ///< Value of the header field that the request names; empty when the answer lacks it.
 };
 
 /// Errors of fetch().
--- a/src/shell/net/page_server.cpp
+++ b/src/shell/net/page_server.cpp
@@ -58,6 +58,9 @@
     message.version(11);
     message.result(page.status);
     message.set(http::field::content_type, page.contentType);
+    std::ranges::for_each(page.headers, [&message](const auto &field) {
+        message.set(field.first, field.second);
+    });
     message.keep_alive(keepAlive);
     message.body() = std::move(page.body);
     message.prepare_payload();
--- a/src/shell/net/page_server.h
+++ b/src/shell/net/page_server.h
@@ -27,6 +27,7 @@
     unsigned status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::map<std::string, std::string> headers {}; ///< Further fields of the head, by name.
     bool dropConnection = false; ///< Closes the connection without an answer, to simulate a failing service.
 };
 
--- a/src/shell/platform/config_feed.cpp
+++ b/src/shell/platform/config_feed.cpp
@@ -74,7 +74,7 @@
 }
 
 // Every reader of the log judges all of its records.
-void config_feed::recordPosition(config_version /*version*/, log_offset /*next*/)
+void config_feed::recordPosition(config_version /*version*/, log_position /*next*/)
 {
 }
 
@@ -107,7 +107,7 @@
     return m_state.changesSince(version);
 }
 
-log_offset config_feed::asOf() const
+log_position config_feed::asOf() const
 {
     return m_state.asOf();
 }
--- a/src/shell/platform/config_feed.h
+++ b/src/shell/platform/config_feed.h
@@ -65,9 +65,9 @@
     bool isNewest() const override;
 
     std::shared_ptr<const configuration> current() const override;
-    void recordPosition(config_version version, log_offset next) override;
+    void recordPosition(config_version version, log_position next) override;
     change_set changesSince(config_version version) const override;
-    log_offset asOf() const override;
+    log_position asOf() const override;
     std::optional<std::string> stateText() const override;
 
     /// Returns whether the last read of the log failed.
--- a/tests/discovery/endpoint_registry_test.cpp
+++ b/tests/discovery/endpoint_registry_test.cpp
@@ -26,6 +26,22 @@
     return entry;
 }
 
+endpoint_entry reportOf(const std::string &identity, std::uint64_t sequence, const std::string &host = "10.0.0.1")
+{
+    auto entry = entryOf(identity, 1, host);
+    entry.sequence = sequence;
+    return entry;
+}
+
+// Returns a registry that has read one endpoint in the first era, long after its start.
+endpoint_registry registryBeforeRestore()
+{
+    endpoint_registry registry(2s);
+    registry.applyPage({.records = {{"e", {1, 100}, reportOf("e", 5)}}, .next = {1, 101}, .isSnapshot = true}, kStart - 30min);
+    registry.endpoints(kStart);
+    return registry;
+}
+
 class endpoint_registry_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(endpoint_registry_test);
@@ -38,6 +54,11 @@
     CPPUNIT_TEST(aCutOffInstanceHasNoGrace);
     CPPUNIT_TEST(othersLearnOfARemovalDuringTheGrace);
     CPPUNIT_TEST(aStartingInstanceGetsTheEndpointsOfTheGrace);
+    CPPUNIT_TEST(recordsAfterARestoreApply);
+    CPPUNIT_TEST(entriesThatACopyLacksStayForTheGrace);
+    CPPUNIT_TEST(aCopyBringsNoEarlierStateBack);
+    CPPUNIT_TEST(pagesOfAnEarlierEraAreIgnored);
+    CPPUNIT_TEST(changesAcrossARestoreArePassedOn);
     CPPUNIT_TEST(recordsAtLowerOffsetsChangeNothing);
     CPPUNIT_TEST(aCompleteListRemovesTheEntriesItOmits);
     CPPUNIT_TEST(repeatedWarmUpWithTheSameEndChangesNothing);
@@ -166,6 +187,76 @@
         CPPUNIT_ASSERT(starting.endpoints(kStart + 11s).empty());
     }
 
+    // Guards against a removal that is never applied, because a restored store gives out its offset for the second time.
+    void recordsAfterARestoreApply()
+    {
+        auto registry = registryBeforeRestore();
+        registry.applyPage({.records = {{"e", {2, 4}, reportOf("e", 6)}}, .next = {2, 5}, .isSnapshot = true}, kStart + 1s);
+        registry.remove("e", {2, 7}, kStart + 4s);
+        CPPUNIT_ASSERT(registry.endpoints(kStart + 4s).empty());
+    }
+
+    // Guards against the loss of endpoints whose entries were written after the copy, also when the store is restored once more while they are kept.
+    void entriesThatACopyLacksStayForTheGrace()
+    {
+        auto registry = registryBeforeRestore();
+        registry.applyPage({.records = {}, .next = {2, 5}, .isSnapshot = true}, kStart + 1s);
+        registry.applyPage({.records = {}, .next = {3, 4}, .isSnapshot = true}, kStart + 2500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, registry.endpoints(kStart + 4s)[pool_name("p")].size());
+        registry.report(reportOf("e", 7), {3, 5}, kStart + 4s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, registry.endpoints(kStart + 9s)[pool_name("p")].size());
+        auto silent = registryBeforeRestore();
+        silent.applyPage({.records = {}, .next = {2, 5}, .isSnapshot = true}, kStart + 1s);
+        CPPUNIT_ASSERT(silent.endpoints(kStart + 3s).empty());
+    }
+
+    // Guards against calls to an endpoint that has left or is leaving, because a copy of the store still holds an earlier report of it.
+    void aCopyBringsNoEarlierStateBack()
+    {
+        for (const bool isRemoved : {false, true}) {
+            auto registry = registryBeforeRestore();
+            if (isRemoved) {
+                registry.remove("e", {1, 101}, kStart);
+                registry.endpoints(kStart + 3s);
+            } else {
+                auto leaving = reportOf("e", 6);
+                leaving.leaving = true;
+                registry.report(leaving, {1, 101}, kStart);
+            }
+            registry.applyPage({.records = {{"e", {2, 4}, reportOf("e", 4)}}, .next = {2, 5}, .isSnapshot = true}, kStart + 4s);
+            const auto restored = registry.endpoints(kStart + 4s)[pool_name("p")];
+            CPPUNIT_ASSERT(isRemoved ? restored.empty() : restored.front().leaving);
+            registry.report(reportOf("e", 7), {2, 5}, kStart + 5s);
+            CPPUNIT_ASSERT_MESSAGE("what the endpoint writes after the restore is new", !registry.endpoints(kStart + 5s)[pool_name("p")].front().leaving);
+        }
+    }
+
+    // Guards against an instance that has not heard of a restore and undoes what others have read since.
+    void pagesOfAnEarlierEraAreIgnored()
+    {
+        auto registry = registryBeforeRestore();
+        registry.applyPage({.records = {{"e", {2, 4}, reportOf("e", 6)}}, .next = {2, 5}, .isSnapshot = true}, kStart + 1s);
+        registry.applyPage({.records = {{"e", {1, 150}, std::nullopt}}, .next = {1, 151}, .isSnapshot = false}, kStart + 4s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, registry.endpoints(kStart + 4s)[pool_name("p")].size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t {2}, registry.era());
+    }
+
+    // Guards against an instance that asks with a position from before a restore and misses what has changed since.
+    void changesAcrossARestoreArePassedOn()
+    {
+        auto reader = registryBeforeRestore();
+        auto follower = registryBeforeRestore();
+        const discovery_page restored {
+            .records = {{"e", {2, 4}, reportOf("e", 6)}, {"f", {2, 3}, reportOf("f", 1, "10.0.0.2")}}, .next = {2, 5}, .isSnapshot = true};
+        reader.applyPage(restored, kStart + 1s);
+        reader.remove("e", {2, 5}, kStart + 4s);
+        reader.endpoints(kStart + 4s);
+        follower.applyPage(reader.changesSince({1, 101}, {2, 6}, kStart + 4s), kStart + 4s);
+        const auto endpoints = follower.endpoints(kStart + 7s)[pool_name("p")];
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, endpoints.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("f"), endpoints.front().identity);
+    }
+
     void recordsAtLowerOffsetsChangeNothing()
     {
         endpoint_registry registry(2s);
--- a/tests/instance/endpoint_page_test.cpp
+++ b/tests/instance/endpoint_page_test.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace sequoiawharf
 {
 
@@ -32,6 +34,7 @@
     CPPUNIT_TEST(pagesKeepTheirContent);
     CPPUNIT_TEST(aPageStatesTheAgeOfTheProof);
     CPPUNIT_TEST(pagesTellEvacuations);
+    CPPUNIT_TEST(pagesKeepTheEras);
     CPPUNIT_TEST(damagedPagesAreRejected);
     CPPUNIT_TEST(aStartingDataCentreGetsItsPagesWithinHalfASecond);
     CPPUNIT_TEST_SUITE_END();
@@ -79,6 +82,28 @@
         }
     }
 
+    // Guards against positions that lose their era on the way, and against a page of one era that earlier builds cannot read.
+    void pagesKeepTheEras()
+    {
+        auto page = pageOf(2);
+        page.changes.next = {3, 900};
+        page.configuration.next = {2, 12};
+        page.configuration.evacuations = evacuation_state {.centres = {}, .asOf = {2, 11}};
+        page.changes.records.front().position = {2, 100};
+        page.changes.records.back().position = {3, 101};
+        page.changes.records.push_back({"removed", {3, 5}, std::nullopt});
+        page.changes.records.push_back({"removed before", {2, 950}, std::nullopt});
+        const auto read = parseEndpointPage(formatEndpointPage(page, formatEndpointRecords(page.changes.records, 3)));
+        CPPUNIT_ASSERT(read && read->changes.next == page.changes.next && read->configuration == page.configuration);
+        CPPUNIT_ASSERT(std::ranges::equal(read->changes.records, page.changes.records, {}, &discovery_record::position, &discovery_record::position));
+        CPPUNIT_ASSERT(!read->changes.records.back().entry && read->changes.records.front().entry);
+        const std::vector<discovery_record> ofOneEra {{"removed", {3, 5}, std::nullopt}};
+        CPPUNIT_ASSERT_EQUAL(formatEndpointRecords({{"removed", 5, std::nullopt}}), formatEndpointRecords(ofOneEra, 3));
+        CPPUNIT_ASSERT(parseEndpointPageQuery({{"from", "7"}}) == log_position(7));
+        CPPUNIT_ASSERT(parseEndpointPageQuery({{"from", "7"}, {"era", "2"}}) == log_position(2, 7));
+        CPPUNIT_ASSERT(!parseEndpointPageQuery({{"era", "2"}}) && !parseEndpointPageQuery({{"from", "7"}, {"era", "x"}}));
+    }
+
     void damagedPagesAreRejected()
     {
         const auto page = pageOf(600);
