Let every balancer in use see that an endpoint was removed

Under load, calls that had come in before an instance knew of a removal reached the removed endpoint up to 4.1 s after the store had acknowledged it (3 s are allowed).

Cause: a waiting call keeps the balancer that was in force when it came in. A removed endpoint was only left out of the next balancer; the state that all balancers share did not say that it is gone. A slot that became free there went to the next waiting call, and so on.

Change: a new balancer marks the shared state of endpoints that it does not list, and unmarks it when they return. Choices, probes, retries, hedges and the hand-over of slots see the mark at once. A slot is handed over only where the waiting call's own balancer has the same process at the address and may use it. A waiting call that was not sent yet goes on with the newest balancer, and so reaches endpoints that joined meanwhile.

--- a/include/sequoiawharf/endpoint_state.h
+++ b/include/sequoiawharf/endpoint_state.h
@@ -32,6 +32,7 @@
 
     // The members that each choice of an endpoint reads come first, so that they share one or two cache lines.
     std::atomic<std::int64_t> leavingSinceNs {0}; ///< Time at which this instance learned that the endpoint is leaving.
+    std::atomic<bool> isRemoved {false}; ///< The newest pool table does not list the endpoint. Earlier balancers that calls still use see it here.
     std::atomic<std::int64_t> ejectedUntilNs {0}; ///< End of the ejection; trial calls follow it until the endpoint returns.
     std::atomic<std::int64_t> rampStartNs {0}; ///< Start of the slow start.
     std::atomic<std::int64_t> restUntilNs {0}; ///< End of the newest rest that the endpoint asked for; stays set afterwards.
--- a/include/sequoiawharf/pool_balancer.h
+++ b/include/sequoiawharf/pool_balancer.h
@@ -36,8 +36,8 @@
     /// Upper bound, exclusive, of the thread numbers passed to waitStarted().
     static constexpr unsigned kMaxThreads = 256;
 
-    /// Continues with the state that previous holds of the pool and of the endpoints that both have; previous may be null. Precondition: policy is not
-    /// null.
+    /// Continues with the state that previous holds of the pool and of the endpoints that both have; previous may be null. Endpoints that only previous or
+    /// earlier balancers have get no more calls through these, until a later balancer has them again. Precondition: policy is not null.
     pool_balancer(const pool &definition, const locality &place, std::shared_ptr<const selection_policy> policy, const pool_balancer *previous, mono_time now);
 
     const pool &definition() const
@@ -123,9 +123,8 @@
     /// results may use the same endpoints.
     centre_mask servingCentres(const call_profile &call) const;
 
-    /// Returns whether the endpoint may get a request now: it has not said that it is leaving or wants a rest, and its data centre is not
-    /// evacuated. Precondition: index is below the number of
-    /// endpoints of definition().
+    /// Returns whether the endpoint may get a request now: the newest pool table lists it, it has not said that it is leaving or wants
+    /// a rest, and its data centre is not evacuated. Precondition: index is below the number of endpoints of definition().
     bool mayTakeRequests(std::uint32_t index, mono_time now) const;
 
     /// Records what an answer of the endpoint states about further calls. Precondition: index is below the number of endpoints of definition().
@@ -197,6 +196,8 @@
     static std::shared_ptr<endpoint_state> stateFor(const endpoint &member, const pool_balancer *previous, mono_time now);
     std::shared_ptr<endpoint_state> findProcess(const endpoint &member) const;
     void keepDeparted(const pool_balancer &previous, mono_time now);
+    bool lists(const endpoint_state &state) const;
+    void markRemoved(const pool_balancer &previous);
     centre_mask evacuated() const;
     std::span<const std::uint32_t> membersFor(centre_mask allowed) const;
     bool isDataCentreUnhealthy(std::uint32_t index, mono_time now) const;
@@ -209,6 +210,7 @@
     std::shared_ptr<pool_state> m_state;
     std::vector<std::shared_ptr<endpoint_state>> m_endpoints;
     std::vector<std::shared_ptr<endpoint_state>> m_departed; // endpoints that are not in the table any more, but whose word holds if they come back
+    std::vector<std::weak_ptr<endpoint_state>> m_removed; // endpoints that are not in the table any more, while earlier balancers are in use
     std::vector<std::uint32_t> m_members; // indices of the endpoints that this instance calls, ascending
     std::vector<distance> m_distances; // of all endpoints, by index
     std::shared_ptr<const placement_limits> m_limits; // null: nothing is evacuated
--- a/src/balance/endpoint_health.cpp
+++ b/src/balance/endpoint_health.cpp
@@ -56,7 +56,7 @@
 fitness fitnessOf(const endpoint_state &state, mono_time now)
 {
     const auto nowNs = now.time_since_epoch().count();
-    if (state.leavingSinceNs.load(kRelaxed) != 0) {
+    if (state.leavingSinceNs.load(kRelaxed) != 0 || state.isRemoved.load(kRelaxed)) {
         return fitness::Leaving;
     }
     if (nowNs < state.restUntilNs.load(kRelaxed)) {
--- a/src/balance/endpoint_health.h
+++ b/src/balance/endpoint_health.h
@@ -20,7 +20,7 @@
     Ejected,
     Unreachable, ///< Ejected because it could not be reached.
     Resting, ///< It asked for no calls until a time that has not come.
-    Leaving,
+    Leaving, ///< It is leaving, or the newest pool table does not list it.
 };
 
 /// Returns the fitness of an endpoint. Thread safe.
@@ -32,7 +32,7 @@
 /// Returns the fraction of an equal part of the calls, from kMinRampShare to 1, that an endpoint in slow start gets. Thread safe.
 double rampShare(const endpoint_state &state, mono_time now);
 
-/// Returns whether the endpoint may get a request now: it is neither leaving nor resting. Thread safe.
+/// Returns whether the endpoint may get a request now: it is neither leaving, removed nor resting. Thread safe.
 bool mayTakeRequests(const endpoint_state &state, mono_time now);
 
 /// Returns the fraction of an equal part of the calls, from kMinReturnShare to 1, that an endpoint gets after a rest. Thread safe.
--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -88,6 +88,7 @@
     });
     if (previous != nullptr) {
         keepDeparted(*previous, now);
+        markRemoved(*previous);
     }
     const auto serving = m_members.empty() ? m_endpoints.size() : m_members.size();
     std::ranges::transform(m_definition.endpoints, std::back_inserter(m_distances), [&](const endpoint &member) {
@@ -163,6 +164,30 @@
     }
 }
 
+// Returns whether the table has the endpoint's process.
+bool pool_balancer::lists(const endpoint_state &state) const
+{
+    const auto index = find(state.definition().address);
+    return index && isSameProcess(m_definition.endpoints[*index], state.definition());
+}
+
+// Marks the endpoints of earlier balancers that are not in the table any more, and removes the mark of those that have come back to it.
+void pool_balancer::markRemoved(const pool_balancer &previous)
+{
+    m_removed = previous.m_removed;
+    std::ranges::copy_if(previous.m_endpoints, std::back_inserter(m_removed), [this](const auto &state) {
+        return !lists(*state);
+    });
+    std::erase_if(m_removed, [this](const std::weak_ptr<endpoint_state> &item) {
+        const auto state = item.lock();
+        const bool isListed = state && lists(*state);
+        if (state) {
+            state->isRemoved.store(!isListed, kRelaxed);
+        }
+        return !state || isListed;
+    });
+}
+
 centre_mask pool_balancer::evacuated() const
 {
     return m_limits ? m_limits->evacuated() : 0;
--- a/src/shell/gateway/call_attempts.cpp
+++ b/src/shell/gateway/call_attempts.cpp
@@ -1,5 +1,6 @@
 #include "sequoiawharf/event.h"
 #include "sequoiawharf/retry_after.h"
+#include "sequoiawharf/routing.h"
 #include "src/shell/gateway/call_engine.h"
 #include "src/shell/gateway/call_run.h"
 #include "src/shell/gateway/gateway_shared.h"
@@ -141,6 +142,7 @@
     queueProfile.deadline = timing().objectiveAt;
     queueProfile.centres = m_balancer->servingCentres(m_profile);
     while (m_watch->isRunning()) {
+        useNewestBalancer();
         if (m_balancer->isExcluded(m_profile)) {
             co_return std::nullopt; // no endpoint may become free for the call
         }
@@ -181,6 +183,18 @@
     co_return std::nullopt;
 }
 
+// Lets a call that has not been sent choose among the endpoints that are known now. Later, its attempts are numbered by its balancer's endpoints.
+void call_run::useNewestBalancer()
+{
+    if (m_record.attempts() > 0) {
+        return;
+    }
+    const auto newest = m_engine.shared().routings.load()->find(m_balancer->definition().name);
+    if (newest && !newest->definition().probePath.empty()) {
+        m_balancer = newest;
+    }
+}
+
 // Returns an endpoint for a hedge that is neither slow nor nearly full, or nothing: a hedge to another endpoint would be of no use.
 asio::awaitable<std::optional<chosen_endpoint>> call_run::pickHedgeSlot()
 {
--- a/src/shell/gateway/call_run.h
+++ b/src/shell/gateway/call_run.h
@@ -70,6 +70,7 @@
     boost::asio::awaitable<std::optional<chosen_endpoint>> pickHedgeSlot();
     boost::asio::awaitable<std::optional<chosen_endpoint>> probeEndpoints(std::shared_ptr<probe_round> &round);
     boost::asio::awaitable<std::optional<chosen_endpoint>> acquireSlot();
+    void useNewestBalancer();
     void offerFreedSlot(call_attempt &attempt);
     boost::asio::awaitable<void> probeByDistance(probe_round &round, bool isLarge);
     boost::asio::awaitable<std::optional<next_step>> attemptAt(chosen_endpoint chosen);
--- a/src/shell/gateway/slot_queue.cpp
+++ b/src/shell/gateway/slot_queue.cpp
@@ -27,6 +27,11 @@
     }
 }
 
+bool isProcessOf(const endpoint &one, const endpoint &other)
+{
+    return one.identity == other.identity && one.incarnation == other.incarnation;
+}
+
 } // namespace
 
 slot_queue::pool_queue::pool_queue()
@@ -101,12 +106,15 @@
     if (poolQueue.queue.empty() || !isUncongested(freed)) {
         return;
     }
-    // The waiting call may have started under another configuration, in which the endpoint has another index or does not exist.
-    const auto &address = pool->at(freed.index).definition().address;
+    // The waiting call may have started under another configuration, in which the endpoint has another index or does not exist, or in which another
+    // process had its address.
+    const auto &process = pool->at(freed.index).definition();
+    const auto &address = process.address;
     const auto first = poolQueue.queue.pop(now, std::chrono::nanoseconds::zero(), [&](const waiting_call &call) {
         const auto &waitedFor = *poolQueue.waiters.find(call.token)->second->pool;
         const auto index = waitedFor.find(address);
-        return !index || waitedFor.mayUse(*index, call.profile);
+        return !index
+               || (isProcessOf(process, waitedFor.at(*index).definition()) && waitedFor.mayTakeRequests(*index, now) && waitedFor.mayUse(*index, call.profile));
     });
     if (!first) {
         return;
--- a/tests/balance/availability_test.cpp
+++ b/tests/balance/availability_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(callsComeBackGraduallyAfterARest);
     CPPUNIT_TEST(theFirstEndIsKnownWhenAllRest);
     CPPUNIT_TEST(aRestOutlivesChangesOfTheTable);
+    CPPUNIT_TEST(earlierBalancersSeeThatAnEndpointIsRemoved);
     CPPUNIT_TEST(whoeverHasSaidThatItLeavesStaysOut);
     CPPUNIT_TEST(callersThatFoundAllRestingReturnSpread);
     CPPUNIT_TEST_SUITE_END();
@@ -121,6 +122,32 @@
         CPPUNIT_ASSERT_MESSAGE("another process", rig.balancer().mayTakeRequests(0, rig.now));
     }
 
+    // Guards against calls that use a balancer from before an endpoint was removed, and are sent there long after it. Another process at its address is
+    // another endpoint, and so is one of another pool.
+    void earlierBalancersSeeThatAnEndpointIsRemoved()
+    {
+        pool_rig rig(4);
+        const auto whole = withIdentities(rig);
+        const std::shared_ptr<const selection_policy> policy = makeSelectionPolicy("adaptive");
+        const pool_balancer first(whole, rig.place, policy, nullptr, rig.now);
+        auto without = whole;
+        without.endpoints.erase(without.endpoints.begin());
+        const pool_balancer second(without, rig.place, policy, &first, rig.now);
+        CPPUNIT_ASSERT(!first.mayTakeRequests(0, rig.now) && first.mayTakeRequests(1, rig.now));
+        const auto probed = first.probeCandidates(distance::DataCentre, 4, {}, rig.now, rig.random);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, probed.size());
+        for (int i = 0; i < 100; ++i) {
+            CPPUNIT_ASSERT(first.choose(idempotentCall(rig.now), {}, rig.now, rig.random) != 0U);
+        }
+        auto reused = whole;
+        reused.endpoints[0].identity = "another";
+        const pool_balancer third(reused, rig.place, policy, &second, rig.now);
+        CPPUNIT_ASSERT(!first.mayTakeRequests(0, rig.now) && third.mayTakeRequests(0, rig.now));
+        const pool_balancer fourth(whole, rig.place, policy, &third, rig.now);
+        CPPUNIT_ASSERT_MESSAGE("the entry has come back", first.mayTakeRequests(0, rig.now) && fourth.mayTakeRequests(0, rig.now));
+        CPPUNIT_ASSERT(!third.mayTakeRequests(0, rig.now));
+    }
+
     // Guards against calls to an endpoint that has said that it leaves, after discovery has told an older state of it.
     void whoeverHasSaidThatItLeavesStaysOut()
     {
--- a/tests/gateway/gateway_rig.cpp
+++ b/tests/gateway/gateway_rig.cpp
@@ -176,7 +176,8 @@
     : targetPool(makePool(targets))
     , m_relays(relay == nullptr ? 0 : threads, relay)
     , m_metrics(threads)
-    , m_routing(std::make_shared<const routing>())
+    , m_current(std::make_shared<const routing>())
+    , m_routing(m_current)
 {
     settings.id = instance_id("n1");
     settings.region = region_id("north");
@@ -193,6 +194,21 @@
 void gateway_rig::start()
 {
     m_gateway.reset();
+    limits = std::make_shared<placement_limits>(settings.regions);
+    publishRouting(routing {});
+    m_gateway = std::make_unique<gateway>(settings, m_routing, m_directory, m_relays, m_events, m_metrics, ownDialect(), freshness);
+    const auto started = m_gateway->start();
+    CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error(), started.has_value());
+    m_gateway->setReady(true, "");
+}
+
+void gateway_rig::updatePool()
+{
+    publishRouting(*m_current);
+}
+
+void gateway_rig::publishRouting(const routing &previous)
+{
     auto config = std::make_shared<configuration>();
     std::vector<route> routes {
         makeRoute("all", "/", milliseconds(10'000), 1U << 20U),
@@ -209,14 +225,10 @@
     config->pools = pool_table({targetPool});
     const std::shared_ptr<const selection_policy> policy = makeSelectionPolicy("two-choices");
     CPPUNIT_ASSERT(policy != nullptr);
-    limits = std::make_shared<placement_limits>(settings.regions);
     locality place {settings.id, settings.dataCentre, {}, 1};
     place.limits = limits;
-    m_routing.store(std::make_shared<const routing>(config, place, policy, routing {}, std::chrono::steady_clock::now()));
-    m_gateway = std::make_unique<gateway>(settings, m_routing, m_directory, m_relays, m_events, m_metrics, ownDialect(), freshness);
-    const auto started = m_gateway->start();
-    CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error(), started.has_value());
-    m_gateway->setReady(true, "");
+    m_current = std::make_shared<const routing>(config, place, policy, previous, std::chrono::steady_clock::now());
+    m_routing.store(m_current);
 }
 
 void gateway_rig::startProbing()
--- a/tests/gateway/gateway_rig.h
+++ b/tests/gateway/gateway_rig.h
@@ -129,6 +129,9 @@
     /// As start(), with a gateway that probes one target before each call.
     void startProbing();
 
+    /// Puts the current targetPool in force while the gateway serves.
+    void updatePool();
+
     instance_settings settings;
     pool targetPool;
     organisation_table organisations;
@@ -139,10 +142,13 @@
     std::shared_ptr<placement_limits> limits; ///< Of the gateway, for settings.regions.
 
 private:
+    void publishRouting(const routing &previous);
+
     std::vector<relay_client *> m_relays;
     fake_directory m_directory;
     null_sink m_events;
     gateway_metrics m_metrics;
+    std::shared_ptr<const routing> m_current; ///< As published in m_routing.
     rcu_snapshot<routing> m_routing;
     std::unique_ptr<gateway> m_gateway;
 };
--- a/tests/gateway/queue_test.cpp
+++ b/tests/gateway/queue_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(aCallThatIsPushedOutOfAFullQueueIsRefused);
     CPPUNIT_TEST(endpointsThatReportNoLoadUseTheirSlots);
     CPPUNIT_TEST(waitingCallsGetTheSlotsOfEndpointsThatReportNoLoad);
+    CPPUNIT_TEST(waitingCallsGetNoSlotOfARemovedEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +150,51 @@
         CPPUNIT_ASSERT(monoNow() - begun < kMaxTime);
     }
 
+    // Guards against calls that came in before the instance knew of a removal and reach the endpoint long after it.
+    void waitingCallsGetNoSlotOfARemovedEndpoint()
+    {
+        constexpr std::size_t kCallsAtOnce = 4; // all slots of the endpoint, while no latency is known
+        constexpr std::size_t kCalls = 8;
+        std::atomic<bool> mayEnd {false};
+        std::atomic<std::size_t> leavingRuns {0};
+        const fake_target leaving([&](target_peer &peer) {
+            for (auto request = peer.readRequest(); !request.empty(); request = peer.readRequest()) {
+                if (request.starts_with("POST")) {
+                    leavingRuns += 1;
+                    eventually([&] {
+                        return mayEnd.load();
+                    });
+                }
+                peer.answer("x");
+            }
+        });
+        const fake_target joining(alwaysAnswer("x"));
+        gateway_rig rig({&leaving, &joining});
+        auto endpoints = rig.targetPool.endpoints;
+        std::ranges::for_each(endpoints, [](endpoint &one) {
+            one.slots = 4;
+            one.identity = std::to_string(one.address.port);
+        });
+        rig.targetPool.maxConnections = 250;
+        rig.targetPool.endpoints = {endpoints.front()};
+        rig.startProbing();
+        many_callers callers(rig.address());
+        for (std::size_t i = 0; i < kCalls; ++i) {
+            callers.send(milliseconds(8000));
+        }
+        CPPUNIT_ASSERT(eventually([&] {
+            return leavingRuns == kCallsAtOnce && rig.server().callsInFlight() == kCalls;
+        }));
+        std::this_thread::sleep_for(milliseconds(100)); // the other calls wait
+        rig.targetPool.endpoints = {endpoints.back()};
+        rig.updatePool();
+        mayEnd = true;
+        CPPUNIT_ASSERT(eventually([&] {
+            return callers.answered() == kCalls;
+        }));
+        CPPUNIT_ASSERT_EQUAL(kCallsAtOnce, leavingRuns.load());
+    }
+
 private:
     // Fills the queue with calls that have a deadline of 8 s, sends more with the given deadline, and expects that as many are refused and that the
     // thread serves other requests.
