--- a/include/sequoiawharf/settings.h
+++ b/include/sequoiawharf/settings.h
@@ -158,6 +158,10 @@
 /// Returns the effect of the settings read from the file on an instance that runs with other settings. Thread safe.
 settings_reload planReload(const instance_settings &running, const instance_settings &read);
 
+/// Parses quota settings from the text "WINDOW-SECONDS,OVERSHOOT,SLACK", which a deployment fills in. Values that are all empty mean that quotas are not
+/// enforced. The error names the expected form. Thread safe.
+tl::expected<quota_settings, std::string> parseQuotaSettings(const std::string &text);
+
 /// Parses settings from YAML text. The error lists all faults, each with its line and the allowed values. Thread safe.
 tl::expected<instance_settings, std::vector<table_fault>> parseSettings(const std::string &text);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -27,6 +27,7 @@
 
 struct arguments {
     std::string settingsPath;
+    std::string quotas; ///< Empty: as the settings file says.
     bool checkOnly = false;
 };
 
@@ -37,9 +38,11 @@
                         ' ',
                         kVersion);
     TCLAP::ValueArg<std::string> settingsPath("s", "settings", "Settings file in YAML.", defaultSettings.empty(), defaultSettings, "FILE", line);
+    TCLAP::ValueArg<std::string> quotas(
+        "", "quotas", "Enforcement of the quotas of organisations, in place of that in the settings file.", false, "", "SECONDS,OVERSHOOT,SLACK", line);
     TCLAP::SwitchArg checkOnly("", "check-settings", "Check the settings file and exit.", line);
     line.parse(argc, argv);
-    return {settingsPath.getValue(), checkOnly.getValue()};
+    return {settingsPath.getValue(), quotas.getValue(), checkOnly.getValue()};
 }
 
 std::optional<std::string> readFile(const std::string &path)
@@ -54,8 +57,9 @@
 }
 
 // Returns the settings, or an error with one line per fault.
-tl::expected<instance_settings, std::string> readSettings(const std::string &path)
+tl::expected<instance_settings, std::string> readSettings(const arguments &options)
 {
+    const auto &path = options.settingsPath;
     const auto text = readFile(path);
     if (!text) {
         return tl::unexpected(fmt::format("{}: the file cannot be read\n", path));
@@ -71,14 +75,21 @@
     if (!makeSelectionPolicy(settings->policy)) {
         return tl::unexpected(fmt::format("{}: settings: \"policy\" names \"{}\", which does not exist\n", path, settings->policy));
     }
+    if (!options.quotas.empty()) {
+        const auto quotas = parseQuotaSettings(options.quotas);
+        if (!quotas) {
+            return tl::unexpected(fmt::format("--quotas: {}\n", quotas.error()));
+        }
+        settings->quotas = *quotas;
+    }
     return std::move(*settings);
 }
 
-int runInstance(instance_settings settings, surroundings &outside, const std::string &path)
+int runInstance(instance_settings settings, surroundings &outside, const arguments &options)
 {
     setLogLevel(toLogLevel(settings.logLevel));
-    instance entry(std::move(settings), outside, [path] {
-        return readSettings(path);
+    instance entry(std::move(settings), outside, [options] {
+        return readSettings(options);
     });
     if (const auto started = entry.start(); !started) {
         fmt::print(stderr, "{}\n", started.error());
@@ -92,7 +103,7 @@
 int sequoiawharf::runDaemon(int argc, char **argv, surroundings &outside, const std::string &defaultSettings)
 {
     const auto options = parseArguments(argc, argv, defaultSettings);
-    auto settings = readSettings(options.settingsPath);
+    auto settings = readSettings(options);
     if (!settings) {
         fmt::print(stderr, "{}", settings.error());
         return kExitBadSettings;
@@ -101,5 +112,5 @@
         fmt::print("{}: the settings are valid\n", options.settingsPath);
         return kExitOk;
     }
-    return runInstance(std::move(*settings), outside, options.settingsPath);
+    return runInstance(std::move(*settings), outside, options);
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace sequoiawharf
 {
@@ -269,6 +272,30 @@
     return change;
 }
 
+tl::expected<quota_settings, std::string> parseQuotaSettings(const std::string &text)
+{
+    constexpr std::size_t kValues = 3;
+    constexpr double kMaxWindowSeconds = 600;
+    if (text.find_first_not_of(',') == std::string::npos) {
+        return quota_settings {};
+    }
+    std::vector<double> values;
+    std::istringstream words(text);
+    for (std::string word; std::getline(words, word, ',');) {
+        double value = -1;
+        const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
+        values.push_back(error == std::errc {} && end == word.data() + word.size() ? value : -1);
+    }
+    const bool isValid = values.size() == kValues && values.front() <= kMaxWindowSeconds && std::ranges::all_of(values, [](double value) {
+                             return value >= 0;
+                         });
+    if (!isValid) {
+        return tl::unexpected(fmt::format("\"{}\" is not of the form WINDOW-SECONDS,OVERSHOOT,SLACK with a window of up to {} s", text, kMaxWindowSeconds));
+    }
+    constexpr double kMsPerSecond = 1000;
+    return quota_settings {milliseconds(std::llround(values[0] * kMsPerSecond)), values[1], values[2]};
+}
+
 tl::expected<instance_settings, std::vector<table_fault>> parseSettings(const std::string &text)
 {
     std::vector<table_fault> faults;
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -37,9 +37,24 @@
     CPPUNIT_TEST(memoryOfCallsFollowsTheMachine);
     CPPUNIT_TEST(reloadAppliesOnlyChangeableSettings);
     CPPUNIT_TEST(revocationBoundIsOffOrLongEnough);
+    CPPUNIT_TEST(quotasAreOffOrWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against quotas that are not enforced because of a typing error, and against a start that fails where a deployment has none.
+    void quotasAreOffOrWhole()
+    {
+        CPPUNIT_ASSERT(!parseSettings(kMinimal)->quotas.isSet());
+        const quota_settings expected {.window = std::chrono::milliseconds(5000), .overshoot = 0.1, .slack = 20};
+        CPPUNIT_ASSERT(parseSettings(kMinimal + "quotas: {window_seconds: 5, overshoot: 0.1, slack: 20}\n")->quotas == expected);
+        CPPUNIT_ASSERT(!parseSettings(kMinimal + "quotas: {window: 5}\n"));
+        CPPUNIT_ASSERT(parseQuotaSettings("5,0.1,20") == expected);
+        CPPUNIT_ASSERT(!parseQuotaSettings(",,")->isSet());
+        for (const auto *const text : {"5", "5,0.1", "5,0.1,20,1", "5,,20", "x,0.1,20", "-5,0.1,20", "601,0.1,20", "5,0.1,20s"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseQuotaSettings(text));
+        }
+    }
+
     // Guards against a changed file that alters settings which need a restart, or that does not report them.
     void reloadAppliesOnlyChangeableSettings()
     {
