--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::size_t kMaxNameBytes = 255;
+constexpr std::size_t kMaxLenderBytes = 255;
 
 void write(const heartbeat_message &message, wire::envelope &out)
 {
@@ -97,7 +97,7 @@
     if (in.lender().empty()) {
         return tl::unexpected(codec_error::MissingField);
     }
-    if (in.lender().size() > kMaxNameBytes) {
+    if (in.lender().size() > kMaxLenderBytes) {
         return tl::unexpected(codec_error::OutOfRange);
     }
     quota_request request {.lender = instance_id(in.lender()),
