--- a/src/balance/pool_balancer.cpp
+++ b/src/balance/pool_balancer.cpp
@@ -154,7 +154,8 @@
 void pool_balancer::keepDeparted(const pool_balancer &previous, mono_time now)
 {
     const auto mustKeep = [&](const std::shared_ptr<endpoint_state> &state) {
-        const bool hasSaidSo = state->hasSaidLeaving.load(kRelaxed) || fitnessOf(*state, now) == fitness::Resting;
+        const bool isResting = now.time_since_epoch().count() < state->restUntilNs.load(kRelaxed); // fitnessOf() says Leaving once the endpoint is removed
+        const bool hasSaidSo = state->hasSaidLeaving.load(kRelaxed) || isResting;
         return hasSaidSo && !find(state->definition().address);
     };
     std::ranges::copy_if(previous.m_departed, std::back_inserter(m_departed), mustKeep);
