--- a/src/discovery/endpoint_registry.cpp
+++ b/src/discovery/endpoint_registry.cpp
@@ -129,11 +129,12 @@
 void endpoint_registry::enterEra(const discovery_page &page, mono_time now)
 {
     const bool isFirst = m_next == log_position {};
+    const bool isRestored = !isFirst && page.next.era > m_next.era;
     // An instance that starts cannot tell whether discovery was away just before.
-    if (isFirst || page.next.era > m_next.era) {
+    if (isFirst || isRestored) {
         m_returnedAt = now;
     }
-    if (!isFirst && page.next.era > m_next.era) {
+    if (isRestored) {
         m_eraStart = page.next;
     }
 }
--- a/src/shell/instance/quota_control.h
+++ b/src/shell/instance/quota_control.h
@@ -62,12 +62,7 @@
     /// Returns the answer of this instance as a holder.
     quota_grant answer(const quota_request &request);
 
-    /// Returns whether any organisation has a quota.
-    bool isActive() const
-    {
-        return m_isActive;
-    }
-
+    /// Returns the figures for the metrics.
     quota_figures figures() const;
 
     std::shared_ptr<quota_tokens> tokensOf(const organisation &caller) const override;
@@ -102,7 +97,7 @@
     std::atomic<bool> m_isTickPosted {false};
     quota_figures m_figures;
     boot_time m_refusalsLogged {}; ///< When refusals were logged last.
-    bool m_isActive = false;
+    bool m_isActive = false; ///< Some organisation has a quota.
     bool m_isHolder = false; ///< As logged last.
 };
 
