Decode the queries of page requests, and encode those of requests

Callers of a page saw a parameter as it was sent: "a%20b" was taken literally. A malformed request got no answer, only a closed connection. Requests of the control plane were sent with their query as the caller had written it, so that a value with "&", "#", "%" or a blank changed the query or the request line.

Boost.URL, part of the Boost that is declared already, encodes and decodes. http_request::query holds the parameters as names and values of any bytes; page_server decodes the query and answers a malformed request with 400. Its bodies are compiled in one source, as those of Asio and Beast are, so no package is added.

--- a/src/shell/gateway/refusal.cpp
+++ b/src/shell/gateway/refusal.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr unsigned kBadRequest = 400;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 
--- a/src/shell/net/http_client.cpp
+++ b/src/shell/net/http_client.cpp
@@ -35,7 +35,7 @@
 {
     http::request<http::string_body> out;
     out.method_string(request.method);
-    out.target(request.path);
+    out.target(formatTarget(request.path, request.query));
     out.version(11);
     out.set(http::field::host, toString(server));
     out.set(http::field::content_type, request.contentType);
--- a/src/shell/net/http_client.h
+++ b/src/shell/net/http_client.h
@@ -2,6 +2,7 @@
 
 #include "sequoiawharf/ids.h"
 #include "sequoiawharf/time.h"
+#include "src/shell/net/url_query.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,7 +31,7 @@
 struct http_request {
     host_port server;
     std::string method = "GET";
-    std::string path = "/";
+    std::string path = "/"; ///< Sent as it is; may hold a query that needs no encoding when query is empty.
     std::string body;
     std::string contentType = "application/json";
     std::uint64_t maxAnswerBytes = 256U << 20U; ///< A larger answer body fails the request with Lost.
@@ -38,6 +39,7 @@
     std::optional<std::chrono::milliseconds> stallTimeout {};
     std::shared_ptr<http_progress> progress {}; ///< Updated while the answer arrives; may be null.
     std::string_view wantedField {}; ///< Name of the header field to return with the answer, of static lifetime; empty: none.
+    query_parameters query {}; ///< Percent-encoded when the request is sent.
 };
 
 /// A complete HTTP answer.
--- a/src/shell/net/http_status.h
+++ b/src/shell/net/http_status.h
@@ -4,6 +4,7 @@
 {
 
 inline constexpr unsigned kOk = 200;
+inline constexpr unsigned kBadRequest = 400;
 inline constexpr unsigned kUnauthorized = 401;
 inline constexpr unsigned kNotFound = 404;
 inline constexpr unsigned kGone = 410;
--- a/src/shell/net/page_server.cpp
+++ b/src/shell/net/page_server.cpp
@@ -1,5 +1,8 @@
 #include "src/shell/net/page_server.h"
 
+#include "src/shell/net/http_status.h"
+#include "src/shell/net/url_query.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -10,7 +13,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <ranges>
+#include <optional>
 
 namespace sequoiawharf
 {
@@ -27,31 +30,35 @@
 
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-std::map<std::string, std::string> parseQuery(std::string_view text)
-{
-    std::map<std::string, std::string> query;
-    for (const auto part : std::views::split(text, '&')) {
-        const std::string_view pair(part.begin(), part.end());
-        const auto equals = pair.find('=');
-        if (!pair.empty()) {
-            query.emplace(pair.substr(0, equals), equals == std::string_view::npos ? std::string_view {} : pair.substr(equals + 1));
-        }
-    }
-    return query;
-}
-
-page_request toPageRequest(http::request<http::string_body> &&message)
+// Returns nothing when the query is malformed.
+std::optional<page_request> toPageRequest(http::request<http::string_body> &&message)
 {
     const std::string target(message.target());
-    const auto mark = target.find('?');
+    const auto mark = std::min(target.find('?'), target.size());
+    auto query = parseQuery(std::string_view(target).substr(std::min(mark + 1, target.size())));
+    if (!query) {
+        return std::nullopt;
+    }
     page_request request;
     request.method = std::string(message.method_string());
     request.path = target.substr(0, mark);
-    request.query = mark == std::string::npos ? std::map<std::string, std::string> {} : parseQuery(std::string_view(target).substr(mark + 1));
+    request.query = std::move(*query);
     request.body = std::move(message.body());
     return request;
 }
 
+page_answer badRequest()
+{
+    return {kBadRequest, "text/plain", "the request is malformed\n"};
+}
+
+// Returns whether a read failed because of the bytes that the client sent, rather than because the connection ended.
+bool isMalformed(const boost::system::error_code &error)
+{
+    static const auto &category = make_error_code(http::error::end_of_stream).category();
+    return error.category() == category && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
 http::response<http::string_body> toMessage(page_answer &&page, bool keepAlive)
 {
     http::response<http::string_body> message;
@@ -152,12 +159,15 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(kMaxRequestBytes);
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
+        if (error && !isMalformed(error)) {
             co_return;
         }
-        keepAlive = parser.get().keep_alive();
-        const auto request = toPageRequest(parser.release());
-        auto page = co_await answer(request);
+        keepAlive = !error && parser.get().keep_alive();
+        const auto request = error ? std::nullopt : toPageRequest(parser.release());
+        page_answer page = badRequest();
+        if (request) {
+            page = co_await answer(*request);
+        }
         if (page.dropConnection) {
             co_return;
         }
--- a/src/shell/net/page_server.h
+++ b/src/shell/net/page_server.h
@@ -18,7 +18,7 @@
 struct page_request {
     std::string method;
     std::string path; ///< Without the query.
-    std::map<std::string, std::string> query;
+    std::map<std::string, std::string> query; ///< Decoded.
     std::string body;
 };
 
@@ -31,8 +31,8 @@
     bool dropConnection = false; ///< Closes the connection without an answer, to simulate a failing service.
 };
 
-/// HTTP server for small pages of the control plane, such as metrics, status and the controls of simulated services. Runs on one io_context. Not
-/// thread safe.
+/// HTTP server for small pages of the control plane, such as metrics, status and the controls of simulated services. A malformed request is answered with
+/// 400. Runs on one io_context. Not thread safe.
 class page_server
 {
 public:
--- a/src/shell/peer/peer_node.cpp
+++ b/src/shell/peer/peer_node.cpp
@@ -30,7 +30,6 @@
 constexpr std::chrono::milliseconds kQuotaTimeout {1000}; // the lifetime of a token, which a later answer cannot bring any more
 constexpr std::uint64_t kControlBytesPerSecond = 20'000;
 constexpr std::size_t kMaxPushBytes = 16U << 10U; ///< Instances that lack a larger change request it themselves.
-constexpr unsigned kBadRequest = 400;
 
 membership_settings toMembershipSettings(const peer_node_parts &parts)
 {
