--- a/src/config/validate.cpp
+++ b/src/config/validate.cpp
@@ -1,4 +1,5 @@
 #include "sequoiawharf/configuration.h"
+#include "src/base/names.h"
 #include "src/base/yaml_fields.h"
 #include "src/config/table_rules.h"
 
@@ -17,7 +18,6 @@
 constexpr std::uint32_t kMaxSlots = 10'000;
 constexpr std::uint32_t kMaxConnections = 1'000'000;
 constexpr std::uint64_t kMaxBodyBytesLimit = 1ULL << 40U;
-constexpr std::size_t kMaxNameBytes = 200;
 constexpr std::size_t kMaxPathBytes = 1000;
 constexpr std::size_t kMaxRows = 10'000;
 constexpr std::size_t kMaxEndpoints = 10'000;
@@ -29,18 +29,6 @@
     faults.push_back({std::move(message), 0});
 }
 
-bool isPrintable(std::string_view text)
-{
-    return std::ranges::all_of(text, [](char c) {
-        return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
-    });
-}
-
-bool isName(std::string_view text)
-{
-    return text.size() <= kMaxNameBytes && isPrintable(text);
-}
-
 bool isMethod(std::string_view text)
 {
     return !text.empty() && text.size() <= 32 && std::ranges::all_of(text, [](char c) {
@@ -50,7 +38,7 @@
 
 void checkName(std::string_view kind, const std::string &name, std::vector<table_fault> &faults)
 {
-    if (!isName(name)) {
+    if (!name.empty() && !isName(name)) {
         add(faults, fmt::format("{} \"{}\": the name must be up to {} printable characters without spaces or quotes", kind, name, kMaxNameBytes));
     }
 }
