Write only printable text into the log

A line break in a name from outside, such as a key of the store, ended the line of the log and began one that the writer of the key had chosen.

writeLog() replaces each byte of a message that is not printable ASCII by its hexadecimal value. This holds for all messages, wherever their values come from. log_test failed before, with three lines in place of two, and passes.

--- a/src/shell/net/log.cpp
+++ b/src/shell/net/log.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <fmt/chrono.h>
+#include <iterator>
 #include <poll.h>
 #include <string>
 #include <unistd.h>
@@ -61,6 +62,21 @@
     return "info";
 }
 
+// Replaces all bytes but printable ASCII. Names in a message may come from outside, and a line break in one would look like a line of its own.
+std::string printable(std::string_view text)
+{
+    std::string out;
+    out.reserve(text.size());
+    std::ranges::for_each(text, [&out](char c) {
+        if (c >= ' ' && c <= '~') {
+            out.push_back(c);
+        } else {
+            fmt::format_to(std::back_inserter(out), "\\x{:02x}", static_cast<unsigned char>(c));
+        }
+    });
+    return out;
+}
+
 } // namespace
 
 log_level toLogLevel(std::string_view name)
@@ -91,7 +107,7 @@
     }
     const auto leftOut = droppedLines.exchange(0, std::memory_order_relaxed);
     const auto note = leftOut == 0 ? std::string {} : fmt::format(" lines_left_out={}", leftOut);
-    auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}{}", fmt::gmtime(seconds), millis, nameOf(level), part, message, note);
+    auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}{}", fmt::gmtime(seconds), millis, nameOf(level), part, printable(message), note);
     line.resize(std::min(line.size(), kLineBytes));
     line.push_back('\n');
     if (!writeWithoutBlocking(line)) {
--- a/src/shell/net/log.h
+++ b/src/shell/net/log.h
@@ -18,8 +18,9 @@
 /// Returns whether messages of the level are logged. Thread safe.
 bool isLogged(log_level level);
 
-/// Writes one line to standard output with the time, the level, the part's name and the message. Never blocks: lines beyond the limit per second and
-/// lines for which standard output has no room are dropped, and the next line reports their number. Thread safe.
+/// Writes one line to standard output with the time, the level, the part's name and the message, in which bytes that are not printable ASCII stand as \xNN.
+/// Never blocks: lines beyond the limit per second and lines for which standard output has no room are dropped, and the next line reports their number. Thread
+/// safe.
 void writeLog(log_level level, std::string_view part, std::string_view message);
 
 /// Formats and writes one line. The message is a sentence followed by key=value pairs. Thread safe.
