Keep an address from an entry of no configured pool

Of several entries with one address, the one with the latest start holds it. An entry of a service that no table names, written with the address of an endpoint and a later start, took that endpoint out of its pool.

The registry now knows the configured pools, and an entry of one of them goes before an entry of any other pool. Between configured pools nothing changes: a reused address belongs to the newest incarnation. An entry of another pool still counts when no other one has its address, so that a pool has its endpoints as soon as a configuration names it.

The new test failed without the rule and passes.

--- a/include/sequoiawharf/endpoint_registry.h
+++ b/include/sequoiawharf/endpoint_registry.h
@@ -53,6 +53,10 @@
     /// otherwise only this instance's path to discovery was cut.
     explicit endpoint_registry(std::chrono::milliseconds returnGrace, std::chrono::milliseconds maxSilence = std::chrono::milliseconds(0));
 
+    /// Sets the pools that the configuration names; none are named before the first call. An entry of any other pool loses its address to an entry of one of
+    /// these, whatever it states of itself.
+    void setPools(std::set<pool_name> pools);
+
     /// Applies a report. A report of an earlier incarnation, or at an earlier position than the known report of the same incarnation, changes nothing.
     void report(const endpoint_entry &entry, log_position position, mono_time now);
 
@@ -113,6 +117,7 @@
 
     std::chrono::milliseconds m_returnGrace;
     std::chrono::milliseconds m_maxSilence;
+    std::set<pool_name> m_pools;
     std::map<std::string, known_endpoint> m_entries;
 
     /// A dropped endpoint.
--- a/src/discovery/endpoint_registry.cpp
+++ b/src/discovery/endpoint_registry.cpp
@@ -36,6 +36,12 @@
 {
 }
 
+void endpoint_registry::setPools(std::set<pool_name> pools)
+{
+    m_changed = m_changed || pools != m_pools;
+    m_pools = std::move(pools);
+}
+
 void endpoint_registry::report(const endpoint_entry &entry, log_position position, mono_time now)
 {
     m_next = std::max(m_next, after(position));
@@ -224,12 +230,13 @@
 {
     dropRemoved(now);
     m_changed = false;
-    // An address that was reassigned belongs to the entry that is not removed, with the highest incarnation, then the latest position.
+    // An address that was reassigned belongs to the entry that is not removed, with the highest incarnation, then the latest position. An entry of a pool
+    // that is not configured may be of another writer, which copied the address of an endpoint.
     std::map<host_port, const known_endpoint *> owners;
     std::ranges::for_each(m_entries | std::views::values, [&](const known_endpoint &known) {
         auto &owner = owners[known.entry.address];
-        const auto precedence = [](const known_endpoint &one) {
-            return std::tuple(!one.removedAt.has_value(), one.entry.incarnation, one.position);
+        const auto precedence = [this](const known_endpoint &one) {
+            return std::tuple(m_pools.contains(one.entry.pool), !one.removedAt.has_value(), one.entry.incarnation, one.position);
         };
         if (owner == nullptr || precedence(*owner) < precedence(known)) {
             owner = &known;
--- a/src/shell/instance/control_plane.cpp
+++ b/src/shell/instance/control_plane.cpp
@@ -10,8 +10,10 @@
 
 #include <algorithm>
 #include <ctime>
+#include <iterator>
 #include <random>
 #include <ranges>
+#include <set>
 #include <utility>
 
 namespace sequoiawharf
@@ -461,6 +463,11 @@
 {
     const auto before = m_config->version;
     m_config = std::move(config);
+    if (m_endpoints) {
+        std::set<pool_name> pools;
+        std::ranges::transform(m_config->pools.pools(), std::inserter(pools, pools.end()), &pool::name);
+        m_endpoints->setPools(std::move(pools));
+    }
     publishRouting(monoNow());
     m_freshness.recordVersion(m_config->version);
     if (m_quotas) {
--- a/src/shell/instance/endpoint_feed.h
+++ b/src/shell/instance/endpoint_feed.h
@@ -10,7 +10,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace sequoiawharf
 {
@@ -32,6 +34,12 @@
     /// others is. The first read waits up to 1.5 seconds for the first call of this method.
     void setOthers(std::vector<host_port> others, bool isReader);
 
+    /// Sets the pools that the configuration names. Entries of other pools take no address from theirs.
+    void setPools(std::set<pool_name> pools)
+    {
+        m_registry.setPools(std::move(pools));
+    }
+
     /// Asks the next of the other instances for its configuration's version and proof, unless such a query is under way. The endpoints in its answer are
     /// ignored.
     void askForProof();
--- a/tests/discovery/endpoint_registry_test.cpp
+++ b/tests/discovery/endpoint_registry_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(aLeavingEndpointIsReturnedAtOnce);
     CPPUNIT_TEST(aReportOfAnEarlierIncarnationIsIgnored);
     CPPUNIT_TEST(aReusedAddressBelongsToTheNewestIncarnation);
+    CPPUNIT_TEST(anEntryOfNoPoolTakesNoAddress);
     CPPUNIT_TEST(entriesRemovedAfterAnOutageStayForTheGrace);
     CPPUNIT_TEST(entriesNotReportedWithinTheGraceAreDropped);
     CPPUNIT_TEST(aCutOffInstanceHasNoGrace);
@@ -115,6 +116,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("new"), endpoints.at(pool_name("q")).front().identity);
     }
 
+    // Guards against an entry of another writer, of a service that no table names, which takes an endpoint out by its address.
+    void anEntryOfNoPoolTakesNoAddress()
+    {
+        endpoint_registry registry(2s);
+        registry.setPools({pool_name("p"), pool_name("q")});
+        registry.report(entryOf("e", 1, "10.0.0.1", "p"), 0, kStart);
+        registry.report(entryOf("foreign", 9, "10.0.0.1", "x"), 1, kStart);
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), registry.endpoints(kStart)[pool_name("p")].at(0).identity);
+        registry.report(entryOf("next", 2, "10.0.0.1", "q"), 2, kStart);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an address may move to another pool", std::string("next"), registry.endpoints(kStart)[pool_name("q")].at(0).identity);
+        CPPUNIT_ASSERT(!registry.hasChanged(kStart));
+        registry.setPools({pool_name("p"), pool_name("q"), pool_name("x")});
+        CPPUNIT_ASSERT(registry.hasChanged(kStart));
+        CPPUNIT_ASSERT_EQUAL(std::string("foreign"), registry.endpoints(kStart)[pool_name("x")].at(0).identity);
+    }
+
     void entriesRemovedAfterAnOutageStayForTheGrace()
     {
         endpoint_registry registry(2s);
