Close connections that are returned to a pool at its end

Trace: ~gateway_thread() empties the pool of connections and then destroys its context, and with it the coroutines of the calls. A call that is still running returns the connections of its probes to the pool (~call_run()). The pool closed them only after the context and its socket service were gone. It happens where calls run while the gateway is destroyed, thus at the end of a process and of a test.

The pool is now closed instead of emptied, and closes what is returned afterwards, while the context still exists. The new test failed without this and passes.

--- a/src/shell/gateway/connection_pool.cpp
+++ b/src/shell/gateway/connection_pool.cpp
@@ -140,6 +140,9 @@
 
 void connection_pool::returnConnection(const host_port &address, connection_ptr connection)
 {
+    if (m_isClosed) {
+        return discard(std::move(connection));
+    }
     m_endpoints[address].idle.push_back(std::move(connection));
 }
 
@@ -181,8 +184,9 @@
     });
 }
 
-void connection_pool::clear()
+void connection_pool::close()
 {
+    m_isClosed = true;
     std::ranges::for_each(m_endpoints, [](auto &entry) {
         entry.second.idle.clear();
     });
--- a/src/shell/gateway/connection_pool.h
+++ b/src/shell/gateway/connection_pool.h
@@ -66,8 +66,9 @@
     /// Called periodically.
     void sweep(std::chrono::nanoseconds maxIdle, mono_time now);
 
-    /// Closes all idle connections.
-    void clear();
+    /// Closes all idle connections, and from now on each connection that is returned. Called before the context of the connections is destroyed: calls that
+    /// end with it return theirs.
+    void close();
 
 private:
     struct endpoint_connections {
@@ -82,6 +83,7 @@
 
     thread_metrics &m_metrics;
     unsigned m_threads;
+    bool m_isClosed = false;
     std::unordered_map<host_port, endpoint_connections> m_endpoints;
 };
 
--- a/src/shell/gateway/gateway_thread.cpp
+++ b/src/shell/gateway/gateway_thread.cpp
@@ -47,7 +47,7 @@
 gateway_thread::~gateway_thread()
 {
     stop();
-    m_engine.connections().clear(); // their sockets must not outlive the context
+    m_engine.connections().close(); // their sockets must not outlive the context
 }
 
 tl::expected<void, std::string> gateway_thread::listen(const host_port &address)
--- a/tests/gateway/pool_test.cpp
+++ b/tests/gateway/pool_test.cpp
@@ -1,9 +1,13 @@
 #include "gateway_rig.h"
+#include "src/shell/gateway/connection_pool.h"
+#include "src/shell/metrics/gateway_metrics.h"
 
+#include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
 #include <atomic>
+#include <fcntl.h>
 #include <mutex>
 
 namespace sequoiawharf
@@ -49,9 +53,25 @@
     CPPUNIT_TEST(anEndpointThatAsksForRestGetsNoCalls);
     CPPUNIT_TEST(callsAreRefusedAtOnceWhenAllEndpointsRest);
     CPPUNIT_TEST(aRestInTheAnswerToAProbeHolds);
+    CPPUNIT_TEST(aClosedPoolKeepsNoReturnedConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a socket that outlives the context of its thread: calls that end when the context is destroyed return the connections of their probes.
+    void aClosedPoolKeepsNoReturnedConnection()
+    {
+        const host_port address {"127.10.0.9", 80};
+        gateway_metrics metrics(1);
+        connection_pool pool(metrics.forThread(0), 1);
+        boost::asio::io_context context(1);
+        auto connection = pool.make(address, context.get_executor(), {});
+        connection->socket.open(boost::asio::ip::tcp::v4());
+        const int descriptor = connection->socket.native_handle();
+        pool.close();
+        pool.returnConnection(address, std::move(connection));
+        CPPUNIT_ASSERT_EQUAL(-1, ::fcntl(descriptor, F_GETFD));
+    }
+
     void fullPoolQueuesThenRefuses()
     {
         std::mutex busy;
